--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,457 @@
+#include "wire/codec.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <cmath>
+#include <map>
+
+namespace peargrade::wire {
+namespace {
+
+using rapidjson::Value;
+
+// A place in the batch, for messages: "turn 12: supervisor 3: upstreamStats: 'total' is missing".
+[[noreturn]] void bad(const std::string& where, const std::string& what) { throw Malformed(where + ": " + what); }
+
+// Reads the fields of one JSON object and names it in every complaint.
+class Fields {
+ public:
+  Fields(const Value& value, std::string where) : value_(value), where_(std::move(where)) {
+    if (!value_.IsObject()) bad(where_, "is not an object");
+  }
+
+  const std::string& where() const { return where_; }
+
+  const Value* find(const char* name) const {
+    auto it = value_.FindMember(name);
+    return it == value_.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+  }
+  const Value& need(const char* name) const {
+    const Value* v = find(name);
+    if (v == nullptr) bad(where_, std::string("'") + name + "' is missing");
+    return *v;
+  }
+  std::int64_t integer(const char* name, std::int64_t least, std::int64_t most) const {
+    return checkInteger(need(name), name, least, most);
+  }
+  std::int64_t integerOr(const char* name, std::int64_t least, std::int64_t most, std::int64_t otherwise) const {
+    const Value* v = find(name);
+    return v == nullptr ? otherwise : checkInteger(*v, name, least, most);
+  }
+  double number(const char* name) const { return checkNumber(need(name), name); }
+  double numberOr(const char* name, double otherwise) const {
+    const Value* v = find(name);
+    return v == nullptr ? otherwise : checkNumber(*v, name);
+  }
+  std::string text(const char* name) const { return checkText(need(name), name); }
+  std::string textOr(const char* name, const char* otherwise) const {
+    const Value* v = find(name);
+    return v == nullptr ? otherwise : checkText(*v, name);
+  }
+  bool mark(const char* name) const {  // an absent mark is false
+    const Value* v = find(name);
+    if (v != nullptr && !v->IsBool()) bad(where_, std::string("'") + name + "' is not true or false");
+    return v != nullptr && v->GetBool();
+  }
+  const Value& array(const char* name) const {
+    const Value& v = need(name);
+    if (!v.IsArray()) bad(where_, std::string("'") + name + "' is not an array");
+    return v;
+  }
+
+ private:
+  std::int64_t checkInteger(const Value& v, const char* name, std::int64_t least, std::int64_t most) const {
+    if (!v.IsInt64()) bad(where_, std::string("'") + name + "' is not a whole number");
+    if (v.GetInt64() < least || v.GetInt64() > most) bad(where_, std::string("'") + name + "' is out of range");
+    return v.GetInt64();
+  }
+  double checkNumber(const Value& v, const char* name) const {
+    if (!v.IsNumber() || !std::isfinite(v.GetDouble())) bad(where_, std::string("'") + name + "' is not a number");
+    return v.GetDouble();
+  }
+  std::string checkText(const Value& v, const char* name) const {
+    if (!v.IsString()) bad(where_, std::string("'") + name + "' is not a text");
+    return {v.GetString(), v.GetStringLength()};
+  }
+
+  const Value& value_;
+  std::string where_;
+};
+
+constexpr std::int64_t kIntMax = 2147483647;
+constexpr std::int64_t kMicrosMax = INT64_MAX;
+constexpr std::int64_t kProxyMax = 65535;
+constexpr std::int64_t kTableMax = 65535;
+
+std::string serverId(const Fields& f, const char* name) {
+  std::string id = f.text(name);
+  bool good = !id.empty();
+  for (unsigned char c : id) good = good && c > ' ' && c < 127 && c != '"' && c != '\\';
+  if (!good) bad(f.where(), std::string("'") + name + "' is not a server id");
+  return id;
+}
+
+template <class T>
+T oneOf(const Fields& f, const char* name, const std::map<std::string, T>& words) {
+  auto it = words.find(f.text(name));
+  if (it == words.end()) bad(f.where(), std::string("'") + name + "' has an unknown value");
+  return it->second;
+}
+
+std::string fromHex(const Fields& f, const char* name) {
+  const std::string hex = f.text(name);
+  auto digit = [&](char c) -> int {
+    if (c >= '0' && c <= '9') return c - '0';
+    if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+    if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+    bad(f.where(), std::string("'") + name + "' is not hex digits");
+  };
+  if (hex.size() % 2 != 0) bad(f.where(), std::string("'") + name + "' is not hex digits");
+  std::string bytes;
+  for (std::size_t i = 0; i < hex.size(); i += 2) {
+    bytes.push_back(static_cast<char>(digit(hex[i]) * 16 + digit(hex[i + 1])));
+  }
+  return bytes;
+}
+
+std::string toHex(const std::string& bytes) {
+  static const char* digits = "0123456789abcdef";
+  std::string hex;
+  for (unsigned char c : bytes) {
+    hex.push_back(digits[c >> 4]);
+    hex.push_back(digits[c & 15]);
+  }
+  return hex;
+}
+
+// ---- Settings ----
+
+RequestClass parseClass(const Fields& f) {
+  RequestClass c;
+  c.aim = f.integer("aimUs", 1, kMicrosMax);
+  c.deadline = f.integerOr("hardLimitUs", 0, kMicrosMax, 0);
+  c.worth = f.numberOr("worth", 1);
+  c.effect = oneOf<Effect>(
+      f, "effect", {{"repeatable", Effect::Repeatable}, {"by_key", Effect::ByKey}, {"once", Effect::Once}});
+  const std::string scope = f.textOr("dedupScope", "all");
+  c.dedupScope = scope == "cell" ? DedupScope::Cell : scope == "zone" ? DedupScope::Zone : DedupScope::All;
+  c.keyTtl = f.integerOr("keyTtlUs", 0, kMicrosMax, 0);
+  return c;
+}
+
+void parseExtra(const Fields& f, Settings& s) {
+  s.slices = static_cast<int>(f.integerOr("shards", 0, kTableMax - 1, 0));
+  s.oneOwner = f.mark("oneOwner");
+  const std::string level = f.textOr("throttleBy", "fraction");
+  s.levelUnit = level == "fraction"     ? LevelUnit::Share
+                : level == "per_second" ? LevelUnit::PerSecond
+                                        : LevelUnit::Ignored;
+  s.usualSecondTry = static_cast<int>(f.integerOr("usualHow", 0, 3, 0));
+  s.tryAims = f.numberOr("tryAims", s.tryAims);
+  s.linesPerSecond = f.numberOr("egressPerS", s.linesPerSecond);
+  s.linesPerMessage = f.numberOr("perMessage", s.linesPerMessage);
+  s.linesWaitingMax = f.numberOr("pendingMax", s.linesWaitingMax);
+  s.messagesPerProxyMax = static_cast<int>(f.integerOr("updateCap", 0, kIntMax, 0));
+  s.messagesSpan = f.integerOr("updateWindowUs", 0, kMicrosMax, 0);
+  s.orderDelay = f.integerOr("pushDelayUs", 0, kMicrosMax, 0);
+  s.orderDelayMax = f.integerOr("pushDelayMaxUs", 0, kMicrosMax, 0);
+  s.reportEvery = f.integerOr("reportEveryUs", 1, kMicrosMax, s.reportEvery);
+  s.lease = f.integerOr("leaseUs", 0, kMicrosMax, 0);
+  s.writeSettle = f.integerOr("inFlightMaxUs", 0, kMicrosMax, 0);
+  s.bareMax = f.integerOr("blackholeUs", 0, kMicrosMax, 0);
+  if (const Value* writes = f.find("mutating")) {
+    if (!writes->IsArray()) bad(f.where(), "'mutating' is not an array");
+    for (rapidjson::SizeType i = 0; i < writes->Size() && i < s.classes.size(); ++i) {
+      s.classes[i].write = (*writes)[i].IsBool() && (*writes)[i].GetBool();
+    }
+  }
+}
+
+Settings parseSettings(const Value& value, const std::string& where) {
+  const Fields f(value, where);
+  Settings s;
+  const Value& classes = f.array("classes");
+  if (classes.Empty()) bad(where, "'classes' is empty");
+  for (const Value& c : classes.GetArray()) s.classes.push_back(parseClass(Fields(c, where + ": classes")));
+  s.supervisors = static_cast<int>(f.integerOr("groupSize", 1, kIntMax, 1));
+  s.listOnRequest = f.textOr("registryMode", "pushed") == "on_request";
+  s.listedWeights = f.textOr("weights", "silent") != "silent";
+  if (const Value* limits = f.find("limits")) {
+    const Fields l(*limits, where + ": limits");
+    s.probesAllowed = l.mark("probes");
+    s.peerNotesAllowed = l.mark("peerMessages");
+  }
+  if (const Value* rules = f.find("rules")) {
+    const Fields r(*rules, where + ": rules");
+    s.drainGrace = r.integerOr("drainGraceUs", 0, kMicrosMax, 0);
+    s.askWithin = r.integerOr("askWithinUs", 0, kMicrosMax, 0);
+    s.startCapacity = r.numberOr("startCapacity", 1);
+    s.warmAfter = r.integerOr("warmAfterUs", 0, kMicrosMax, 0);
+    s.overloadFactor = r.numberOr("overloadFactor", 1);
+    s.fallAfter = r.integerOr("fallUs", 0, kMicrosMax, 0);
+  }
+  if (const Value* extra = f.find("extra")) parseExtra(Fields(*extra, where + ": extra"), s);
+  return s;
+}
+
+// ---- Events ----
+
+int zoneOf(const Fields& f) { return static_cast<int>(f.integer("rackZone", 0, kIntMax)); }
+ProxyId proxyOf(const Fields& f) { return static_cast<ProxyId>(f.integer("sidecar", 0, kProxyMax)); }
+TableId tableOf(const Fields& f) { return static_cast<TableId>(f.integer("tbl", 0, kTableMax)); }
+
+ServerEntry parseEntry(const Fields& f) {
+  ServerEntry e;
+  e.server = serverId(f, "server");
+  e.weight = f.numberOr("w", 1);
+  e.startedAt = f.integerOr("startedAtUs", 0, kMicrosMax, 0);
+  e.cell = static_cast<int>(f.integerOr("group", 0, kIntMax, 0));
+  e.zone = static_cast<int>(f.integerOr("rackZone", 0, kIntMax, 0));
+  e.kind = static_cast<int>(f.integerOr("sku", 0, kIntMax, 0));
+  e.state = oneOf<ServerState>(
+      f, "health", {{"U", ServerState::Ready}, {"L", ServerState::Draining}, {"D", ServerState::Gone}});
+  return e;
+}
+
+Input parsePeersKnown(const Fields& f) {
+  ListNews news;
+  news.mode = oneOf<ListMode>(f, "mode",
+                              {{"diff", ListMode::Delta},
+                               {"snapshot", ListMode::Full},
+                               {"disk", ListMode::Cached},
+                               {"error", ListMode::Failed}});
+  news.version = f.integerOr("rev", 0, kMicrosMax, 0);
+  if (f.find("entries") != nullptr) {
+    for (const Value& e : f.array("entries").GetArray()) {
+      news.entries.push_back(parseEntry(Fields(e, f.where() + ": entries")));
+    }
+  } else if (news.mode != ListMode::Failed) {
+    f.need("entries");
+  }
+  return Event{std::move(news)};
+}
+
+Input parseNewInstance(const Fields& f) {
+  const Value& seed = f.need("randomSeed");
+  if (!seed.IsUint64() && !seed.IsInt64()) bad(f.where(), "'randomSeed' is not a whole number");
+  NewInstance n;
+  n.seed = seed.IsUint64() ? seed.GetUint64() : static_cast<std::uint64_t>(seed.GetInt64());
+  n.settings = parseSettings(f.need("info"), f.where() + ": info");
+  return n;
+}
+
+Input parseEcho(const Fields& f) {
+  static constexpr ProbeOutcome kOutcomes[] = {ProbeOutcome::Error,    ProbeOutcome::Answered,
+                                               ProbeOutcome::Rejected, ProbeOutcome::Timeout,
+                                               ProbeOutcome::Unreachable, ProbeOutcome::Broken};
+  return Event{ProbeResult{serverId(f, "server"), kOutcomes[f.integer("ending", 0, 5)],
+                           f.integerOr("durationUs", 0, kMicrosMax, 0)}};
+}
+
+Input parseUpstreamStats(const Fields& f) {
+  ServerReport r{zoneOf(f),
+                 serverId(f, "server"),
+                 f.integer("total", 0, kIntMax),
+                 f.integerOr("bad", 0, kIntMax, 0),
+                 f.integerOr("durationUs", 0, kMicrosMax, 0),
+                 f.integer("windowUs", 0, kMicrosMax)};
+  return Event{std::move(r)};
+}
+
+int classOf(const Fields& f) { return static_cast<int>(f.integer("cls", 0, kIntMax)); }
+
+using Parser = Input (*)(const Fields&);
+const std::map<std::string, Parser>& parsers() {
+  static const std::map<std::string, Parser> table = {
+      {"newInstance", parseNewInstance},
+      {"retire", [](const Fields&) { return Input{Retire{}}; }},
+      {"peersKnown", parsePeersKnown},
+      {"timeoutFired", [](const Fields& f) { return Input{Event{TimerFired{f.text("handle")}}}; }},
+      {"echo", parseEcho},
+      {"message",
+       [](const Fields& f) {
+         return Input{
+             Event{PeerNote{static_cast<int>(f.integer("originPeer", 0, kIntMax)), fromHex(f, "octets")}}};
+       }},
+      {"enrolled",
+       [](const Fields& f) {
+         return Input{Event{ProxyJoined{proxyOf(f), zoneOf(f), f.numberOr("w", 0), f.mark("on")}}};
+       }},
+      {"parted", [](const Fields& f) { return Input{Event{ProxyLeft{proxyOf(f)}}}; }},
+      {"upstreamStats", parseUpstreamStats},
+      {"usage",
+       [](const Fields& f) {
+         return Input{Event{ProxyDemand{proxyOf(f), classOf(f), f.integer("total", 0, kIntMax),
+                                        f.integerOr("bad", 0, kIntMax, 0),
+                                        f.integer("windowUs", 0, kMicrosMax)}}};
+       }},
+      {"activity",
+       [](const Fields& f) {
+         return Input{Event{SliceDemand{tableOf(f), classOf(f), f.integer("total", 0, kIntMax),
+                                        f.integerOr("bad", 0, kIntMax, 0),
+                                        f.integer("windowUs", 0, kMicrosMax)}}};
+       }},
+      {"charge", [](const Fields& f) { return Input{Event{SliceCharge{tableOf(f), f.mark("on")}}}; }},
+      {"onRecord",
+       [](const Fields& f) {
+         return Input{Event{StoredLine{tableOf(f), serverId(f, "server"), f.number("w")}}};
+       }},
+      {"tookEffect",
+       [](const Fields& f) {
+         return Input{Event{OrderApplied{proxyOf(f), static_cast<int>(f.integer("rev", 0, 65535)),
+                                         f.integerOr("durationUs", 0, kMicrosMax, 0)}}};
+       }},
+  };
+  return table;
+}
+
+Input parseInput(const Value& value, const std::string& where) {
+  if (!value.IsObject() || value.MemberCount() != 1) bad(where, "an event is not an object with a single key");
+  const auto& member = *value.MemberBegin();
+  const std::string name(member.name.GetString(), member.name.GetStringLength());
+  auto it = parsers().find(name);
+  if (it == parsers().end()) bad(where, "unknown event '" + name + "'");
+  return it->second(Fields(member.value, where + ": " + name));
+}
+
+// ---- Actions ----
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+struct ActionWriter {
+  Writer& w;
+
+  void key(const char* name) { w.Key(name); }
+  void text(const char* name, const std::string& value) {
+    w.Key(name);
+    w.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  }
+  void integer(const char* name, std::int64_t value) {
+    w.Key(name);
+    w.Int64(value);
+  }
+  void number(const char* name, double value) {
+    w.Key(name);
+    w.Double(value);
+  }
+  void mark(const char* name, bool value) {
+    w.Key(name);
+    w.Bool(value);
+  }
+
+  void operator()(const SetTimer& a) {
+    begin("schedule");
+    integer("waitUs", a.delay);
+    text("handle", a.token);
+  }
+  void operator()(const WatchList& a) {
+    begin("track");
+    mark("on", a.on);
+  }
+  void operator()(const FetchList&) { begin("lookup"); }
+  void operator()(const Probe& a) {
+    begin("ping");
+    text("server", a.server);
+  }
+  void operator()(const TellPeers& a) {
+    begin("say");
+    text("to", "*");
+    text("octets", toHex(a.bytes));
+  }
+  void operator()(const SetLine& a) {
+    begin("setLine");
+    integer("tbl", a.table);
+    text("server", a.server);
+    number("w", a.weight);
+  }
+  void operator()(const ClearTable& a) {
+    begin("truncate");
+    integer("tbl", a.table);
+  }
+  void operator()(const Withdraw& a) {
+    begin("pull");
+    mark("on", a.out);
+    text("server", a.server);
+  }
+  void operator()(const Admit& a) {
+    begin("throttle");
+    integer("tbl", a.table);
+    integer("secondTry", static_cast<int>(a.secondTry));
+    integer("classes", a.classMask);
+    number("limit", a.level);
+  }
+  void operator()(const Mark& a) {
+    begin("nonce");
+    mark("on", a.reachAll);
+    integer("rev", a.mark);
+  }
+  void operator()(const Log& a) {
+    begin("print");
+    text("text", a.text);
+  }
+
+ private:
+  void begin(const char* name) {
+    w.StartObject();
+    w.Key(name);
+    w.StartObject();
+  }
+};
+
+}  // namespace
+
+Batch parseBatch(const std::string& line) {
+  rapidjson::Document doc;
+  doc.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseValidateEncodingFlag>(line.data(), line.size());
+  if (doc.HasParseError()) {
+    bad("batch", std::string("not JSON: ") + rapidjson::GetParseError_En(doc.GetParseError()) + " at byte " +
+                     std::to_string(doc.GetErrorOffset()));
+  }
+  const Fields f(doc, "batch");
+  Batch batch;
+  batch.turn = f.integer("turn", 0, kMicrosMax);
+  const std::string where = "batch " + std::to_string(batch.turn);
+  const Fields named(doc, where);
+  batch.now = named.integer("wallUs", 0, kMicrosMax);
+  for (const Value& g : named.array("groups").GetArray()) {
+    const Fields group(g, where + ": group");
+    InputGroup in;
+    in.supervisor = static_cast<int>(group.integer("supervisor", 0, kIntMax));
+    const std::string place = where + ": supervisor " + std::to_string(in.supervisor);
+    for (const Value& e : Fields(g, place).array("input").GetArray()) in.input.push_back(parseInput(e, place));
+    batch.groups.push_back(std::move(in));
+  }
+  return batch;
+}
+
+std::string writeReply(const Reply& reply) {
+  rapidjson::StringBuffer buffer;
+  Writer w(buffer);
+  w.StartObject();
+  w.Key("turn");
+  w.Int64(reply.turn);
+  w.Key("groups");
+  w.StartArray();
+  for (const ReplyGroup& group : reply.groups) {
+    w.StartObject();
+    w.Key("supervisor");
+    w.Int(group.supervisor);
+    w.Key("out");
+    w.StartArray();
+    for (const Action& action : group.out) {
+      std::visit(ActionWriter{w}, action);
+      w.EndObject();
+      w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return buffer.GetString();
+}
+
+}  // namespace peargrade::wire
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,48 @@
+// JSON codec for the simulator's wire: one line in, one line out. It translates and checks; it decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "peargrade/director.h"
+
+namespace peargrade::wire {
+
+// A batch that is not what the wire promises. The text names the batch and what was wrong.
+class Malformed : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct NewInstance {
+  std::uint64_t seed = 0;
+  Settings settings;
+};
+struct Retire {};
+using Input = std::variant<NewInstance, Retire, Event>;
+
+struct InputGroup {
+  int supervisor = 0;
+  std::vector<Input> input;
+};
+struct Batch {
+  Micros now = 0;
+  std::int64_t turn = 0;
+  std::vector<InputGroup> groups;
+};
+
+struct ReplyGroup {
+  int supervisor = 0;
+  std::vector<Action> out;
+};
+struct Reply {
+  std::int64_t turn = 0;
+  std::vector<ReplyGroup> groups;
+};
+
+Batch parseBatch(const std::string& line);
+std::string writeReply(const Reply& reply);
+
+}  // namespace peargrade::wire
