--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,7 +27,7 @@
 constexpr Micros kPeriod = 2 * kSecond;
 constexpr Micros kSettledStart = 10 * kSecond;
 // Health.
-constexpr double kFewTries = 6, kBadShare = 0.4, kSharedBadShare = 0.3;
+constexpr double kFewTries = 6, kBadShare = 0.4, kSharedBadShare = 0.3, kWorseThanFleet = 3;
 constexpr Micros kFailingHold = 8 * kSecond;
 // Placement.
 constexpr double kColdDiscount = 0.6;   // a cold server has cold keys too
@@ -64,6 +64,8 @@
   bool booted = false, listFresh = false, subscribed = false, rulesSent = false, urgent = false;
   Micros askAgainAt = 0, askBackoff = 0;
   std::map<ServerId, double> heat, hidden;  // by server: of own slices as decided; of peers' slices as guessed
+  double meanSlice = 1;                     // heat of a mean slice
+  double peers = 1;                         // the whole fleet's heat against that of own slices
   std::deque<Micros> messages;              // when replies that write to proxies went out
   double queued = 0;                        // lines that wait in the channel, as reckoned
   Micros queuedAt = 0, routineAt = 0;
@@ -82,12 +84,20 @@
     return s.demand[cls].at(now, kDemandMemory) / memory;
   }
 
-  double heatOf(const Slice& s) const {
+  double measuredHeat(const Slice& s) const {
     double sum = 0;
     for (std::size_t c = 0; c < s.demand.size(); ++c) sum += rate(s, c) * work(static_cast<int>(c));
     return sum;
   }
 
+  // Guards against taking a slice just given, of which no report has come yet, for a cold one: it counts as a mean
+  // slice until it has been heard of for a while. Otherwise a whole batch of them lands on one server.
+  double heatOf(const Slice& s) const {
+    const double known = static_cast<double>(now - s.givenAt - kReportsLag) / kDemandMemory;
+    const double trust = std::clamp(known, 0.0, 1.0);
+    return trust * measuredHeat(s) + (1 - trust) * meanSlice;
+  }
+
   double weight(const Server& s) const { return cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1; }
 
   bool isCold(const Server& s) const {
@@ -130,9 +140,17 @@
   void sumHeat() {
     heat.clear();
     hidden.clear();
+    peers = 1;
     double all = 0, weights = 0;
-    int mine = 0;
+    int mine = 0, known = 0;
     std::map<ServerId, double> first;
+    meanSlice = 0;
+    for (const auto& [id, s] : slices) {
+      if (!s.mine || now - s.givenAt < kReportsLag + kDemandMemory / 2) continue;
+      meanSlice += measuredHeat(s);
+      ++known;
+    }
+    meanSlice = known > 0 && meanSlice > 0 ? meanSlice / known : 1;
     for (const auto& [id, s] : slices) {
       if (!s.mine) continue;
       const double h = heatOf(s);
@@ -144,14 +162,17 @@
     for (const auto& [id, s] : servers) weights += ready(s) ? weight(s) : 0;
     const double seen = cfg.slices > 0 ? static_cast<double>(mine) / cfg.slices : 1;
     if (seen <= 0 || seen >= 1 || weights <= 0) return;
+    peers = 1 / seen;
     for (const auto& [id, s] : servers) {
       const double fair = all / seen * weight(s) / weights;
-      hidden[id] = s.changedAt > 0 ? heat[id] * (1 / seen - 1) : std::max(0.0, fair - first[id]);
+      hidden[id] = s.changedAt > 0 ? heat[id] * (peers - 1) : std::max(0.0, fair - first[id]);
     }
   }
 
+  // Peers are taken to send a changed server as much again as this supervisor does.
   double load(const ServerId& id, double more = 0) {
-    return (heat[id] + hidden[id] + more) / std::max(1e-9, usableWeight(servers[id]));
+    const Server& s = servers[id];
+    return (heat[id] + hidden[id] + more * (s.changedAt > 0 ? peers : 1)) / std::max(1e-9, usableWeight(s));
   }
 
   double meanLoad() {
@@ -209,11 +230,40 @@
     return blind;
   }
 
+  struct Sum {
+    double tries = 0, failed = 0;
+  };
+  Sum met(const Server& s, const std::set<int>& blind = {}) const {
+    Sum sum;
+    for (const auto& [zone, met] : s.met) {
+      if (blind.count(zone) > 0) continue;
+      sum.tries += met.tries.at(now, kHealthMemory);
+      sum.failed += met.failed.at(now, kHealthMemory);
+    }
+    return sum;
+  }
+
+  // Heard latency as a share of the aims of what is asked of the server.
+  double pressure(const ServerId& id) {
+    double requests = 0;
+    for (const auto& [t, slice] : slices) {
+      if (!slice.mine || slice.home != id) continue;
+      for (std::size_t c = 0; c < slice.demand.size(); ++c) requests += rate(slice, c);
+    }
+    return requests > 0 && heat[id] > 0 ? latency(servers[id]) / (heat[id] / requests * kSecond) : 0;
+  }
+
   // Guards against whatever makes a server useless while it is listed: quick errors, refused or silent connections.
   // Judged by answers against tries where most others do well. A slow server that refuses is overloaded, not broken:
   // moving its load elsewhere would only pass that on.
   void judgeHealth() {
     const std::set<int> blind = blindZones();
+    Sum all;
+    for (const auto& [id, s] : servers) {
+      const Sum own = met(s, blind);
+      all.tries += own.tries;
+      all.failed += own.failed;
+    }
     for (auto& [id, s] : servers) {
       if (s.failing) {
         if (now >= s.failingUntil) {
@@ -224,15 +274,13 @@
         }
         continue;
       }
-      double tries = 0, failed = 0;
-      for (const auto& [zone, met] : s.met) {
-        if (blind.count(zone) > 0) continue;
-        tries += met.tries.at(now, kHealthMemory);
-        failed += met.failed.at(now, kHealthMemory);
-      }
-      if (!ready(s) || tries < kFewTries || failed < kBadShare * tries) continue;
-      const bool answersSlowly = tries - failed > 0.2 * tries && latencyRatio(s) > kHotLatency;
+      const Sum own = met(s, blind);
+      if (!ready(s) || own.tries < kFewTries || own.failed < kBadShare * own.tries) continue;
+      const double others = (all.failed - own.failed) / std::max(1.0, all.tries - own.tries);
+      if (own.failed < kWorseThanFleet * others * own.tries) continue;
+      const bool answersSlowly = own.tries - own.failed > 0.2 * own.tries && pressure(id) > kRelaxed;
       if (answersSlowly) continue;
+      const double failed = own.failed, tries = own.tries;
       s.failing = true;
       s.failingHold = s.failingHold == 0 ? kFailingHold : 2 * s.failingHold;
       s.failingUntil = now + s.failingHold;
@@ -312,6 +360,7 @@
     if (old != s.want.end()) s.want.erase(old);
     heat[s.home] -= h;
     heat[to] += h;
+    if (servers[to].changedAt > 0) hidden[to] += h * (peers - 1);
     s.want[to] = w;
     s.home = to;
     s.movedAt = now;
@@ -510,27 +559,14 @@
 
   void admit() {
     for (auto& [id, s] : servers) {
-      double requests = 0, h = 0;
-      for (const auto& [t, slice] : slices) {
-        if (!slice.mine || slice.home != id) continue;
-        for (std::size_t c = 0; c < slice.demand.size(); ++c) {
-          requests += rate(slice, c);
-          h += rate(slice, c) * work(static_cast<int>(c));
-        }
-      }
-      if (requests <= 0 || h <= 0) continue;
-      const double aim = h / requests * kSecond;
-      double tries = 0, failed = 0;
-      for (const auto& [zone, met] : s.met) {
-        tries += met.tries.at(now, kHealthMemory);
-        failed += met.failed.at(now, kHealthMemory);
-      }
-      const double pressure = latency(s) / aim, bad = tries > 0 ? failed / tries : 0;
+      const double pressed = pressure(id);
+      const Sum own = met(s);
+      const double bad = own.tries > 0 ? own.failed / own.tries : 0;
       const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
-      if ((pressure > kOverloaded || (bad > 0.2 && pressure > kRelaxed)) && now - s.admittedAt > settle) {
+      if ((pressed > kOverloaded || (bad > 0.2 && pressed > kRelaxed)) && now - s.admittedAt > settle) {
         if (s.admitted > kAdmitLeast) s.admittedAt = now;
         s.admitted = std::max(kAdmitLeast, s.admitted - kStepDown);
-      } else if (pressure < kRelaxed && bad < 0.1 && s.admitted < 1 && now - s.admittedAt > 2 * settle) {
+      } else if (pressed < kRelaxed && bad < 0.1 && s.admitted < 1 && now - s.admittedAt > 2 * settle) {
         s.admitted = std::min(1.0, s.admitted + kStepUp);
         s.admittedAt = now;
       }
