--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,7 @@
 constexpr Micros kRefillEvery = 1 * kSecond;
 // Admission.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35;  // heard latency as a share of the aim
-constexpr double kStepDown = 0.15, kStepUp = 0.1, kAdmitLeast = 0.3, kClassLeast = 0.1;
+constexpr double kStepDown = 0.15, kStepUp = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
 constexpr int kUrgentReserve = 2;
@@ -61,9 +61,10 @@
   std::map<ServerId, Server> servers;
   std::map<TableId, Slice> slices;
   std::map<ProxyId, Proxy> proxies;
-  bool booted = false, listFresh = false, subscribed = false, rulesSent = false, urgent = false;
+  bool booted = false, listFresh = false, subscribed = false, rulesSent = false, limitedSent = false, urgent = false;
   Micros askAgainAt = 0, askBackoff = 0;
   std::map<ServerId, double> heat, hidden;  // by server: of own slices as decided; of peers' slices as guessed
+  bool limited = false;                     // most servers are limited: work is short, not misplaced
   double meanSlice = 1;                     // heat of a mean slice
   double peers = 1;                         // the whole fleet's heat against that of own slices
   std::deque<Micros> messages;              // when replies that write to proxies went out
@@ -553,23 +554,42 @@
 
   // A further try never goes beyond what cannot take effect twice.
   SecondTry secondTry(const RequestClass& c) const {
-    if (c.effect == Effect::Repeatable) return SecondTry::AfterAnyFailure;
+    if (c.effect == Effect::Repeatable && !limited) return SecondTry::AfterAnyFailure;
     return SecondTry::AfterProof;
   }
 
+  // Each server's allowance is heat per unit of usable weight. It is learned: a pressed server's is set a step under
+  // what it now lets in, and raised in steps while it is relaxed until it binds no more. Being a density it also
+  // says at once, before any report, what a server may take that has just got slices or has just started.
   void admit() {
+    std::vector<double> allowances;
+    double taken = 0, weights = 0;
     for (auto& [id, s] : servers) {
+      if (!usable(s) || isCold(s)) continue;
+      const double density = (heat[id] + hidden[id]) / usableWeight(s);
       const double pressed = pressure(id);
       const Sum own = met(s);
       const double bad = own.tries > 0 ? own.failed / own.tries : 0;
       const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
-      if ((pressed > kOverloaded || (bad > 0.2 && pressed > kRelaxed)) && now - s.admittedAt > settle) {
-        if (s.admitted > kAdmitLeast) s.admittedAt = now;
-        s.admitted = std::max(kAdmitLeast, s.admitted - kStepDown);
-      } else if (pressed < kRelaxed && bad < 0.1 && s.admitted < 1 && now - s.admittedAt > 2 * settle) {
-        s.admitted = std::min(1.0, s.admitted + kStepUp);
-        s.admittedAt = now;
+      if ((pressed > kOverloaded || (bad > 0.2 && pressed > kRelaxed)) && now - s.allowedAt > settle) {
+        s.allowance = s.admitted * density * (1 - kStepDown);
+        s.allowedAt = now;
+      } else if (pressed < kRelaxed && bad < 0.1 && s.allowance > 0 && now - s.allowedAt > settle) {
+        s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStepUp);
+        s.allowedAt = now;
       }
+      if (s.allowance > 0) allowances.push_back(s.allowance);
+      taken += s.admitted * (heat[id] + hidden[id]);
+      weights += usableWeight(s);
+    }
+    std::sort(allowances.begin(), allowances.end());
+    const double usual = weights > 0 ? taken / weights : 0;  // what a unit of weight is known to bear
+    limited = 2 * allowances.size() > servers.size();
+    for (auto& [id, s] : servers) {
+      const double density = (heat[id] + hidden[id]) / usableWeight(s);
+      // Guards the cold against all loads, whoever sends them: what the warm bear, by usable weight, and no more.
+      const double allowed = isCold(s) ? usual : s.allowance;
+      s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
     }
     setLevels();
   }
@@ -598,7 +618,9 @@
       for (std::size_t c : order) {
         if (cut <= 0 || demand[c] <= 0) continue;
         const double take = std::min(cut, (1 - kClassLeast) * demand[c]);
-        s.levels[c] = std::round((1 - take / demand[c]) * 10) / 10;
+        const double level = std::round((1 - take / demand[c]) * 20) / 20;
+        if (std::abs(level - s.sentLevels[c]) < kLevelStep && level < 1) s.levels[c] = s.sentLevels[c];
+        else s.levels[c] = level;
         cut -= take;
       }
     }
@@ -628,7 +650,7 @@
   // Sends what differs between the tables as decided and as sent: changed lines only, gathered into one message.
   void flush() {
     std::vector<Action> orders;
-    if (!rulesSent) {
+    if (!rulesSent || limited != limitedSent) {
       std::map<SecondTry, unsigned> masks;
       for (std::size_t c = 0; c < cfg.classes.size(); ++c) masks[secondTry(cfg.classes[c])] |= 1u << c;
       for (const auto& [how, mask] : masks) orders.push_back(Admit{kAllTables, mask, 1, how});
@@ -655,6 +677,7 @@
       s.sentLevels = s.levels;
     }
     rulesSent = true;
+    limitedSent = limited;
     queued = linesQueued() + static_cast<double>(proxies.size()) *
                                  (cfg.linesPerMessage + static_cast<double>(orders.size()));
     queuedAt = now;
--- a/src/state.h
+++ b/src/state.h
@@ -68,7 +68,8 @@
   Micros failingUntil = 0;
   Micros failingHold = 0;
   double admitted = 1;       // share of the work for it that is let in
-  Micros admittedAt = 0;
+  double allowance = 0;      // heat per usable weight that it may be sent; 0: as much as comes
+  Micros allowedAt = 0;
   bool withdrawn = false;    // sites without slices
 };
 
