--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -19,7 +19,7 @@
 constexpr Micros kDemandMemory = 5 * kSecond;
 constexpr Micros kHealthMemory = 2 * kSecond;
 constexpr Micros kReportsLag = 1 * kSecond;  // reports are about this late
-constexpr double kFewAnswers = 4;
+constexpr double kFewAnswers = 4, kRepeatsMost = 3;
 // The design's hot rule.
 constexpr Micros kLowestSpan = 30 * kSecond;
 constexpr double kHotLatency = 2;
@@ -65,6 +65,7 @@
   Micros askAgainAt = 0, askBackoff = 0;
   std::map<ServerId, double> heat, hidden;  // by server: of own slices as decided; of peers' slices as guessed
   bool limited = false;                     // most servers are limited: work is short, not misplaced
+  double repeats = 0;                       // how often a refused client comes again
   double meanSlice = 1;                     // heat of a mean slice
   double peers = 1;                         // the whole fleet's heat against that of own slices
   std::deque<Micros> messages;              // when replies that write to proxies went out
@@ -82,7 +83,30 @@
     if (cls >= s.demand.size()) return 0;
     const double seen = static_cast<double>(now - s.givenAt) / kDemandMemory;
     const double memory = static_cast<double>(kDemandMemory) / kSecond * (1 - std::exp(-std::max(seen, 0.2)));
-    return s.demand[cls].at(now, kDemandMemory) / memory;
+    const double refused = cls < s.sentLevels.size() ? 1 - s.sentLevels[cls] : 0;
+    return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * refused);
+  }
+
+  // Clients that were refused come again and are counted again, and at some sites are refused again: taken for new
+  // demand they would lower the levels, and so bring more of themselves. How many times they come is what makes the
+  // tries that the servers saw fit the levels in force.
+  void countRepeats() {
+    double tries = 0;
+    std::vector<std::pair<double, double>> arrivals;  // level, rate
+    repeats = 0;
+    for (const auto& [id, s] : servers) tries += s.allTries.at(now, kDemandMemory);
+    tries /= static_cast<double>(kDemandMemory) / kSecond;
+    for (const auto& [id, s] : slices) {
+      for (std::size_t c = 0; s.mine && c < s.demand.size(); ++c) arrivals.emplace_back(s.sentLevels[c], rate(s, c));
+    }
+    double low = 0, high = kRepeatsMost;
+    for (int i = 0; i < 6; ++i) {
+      const double guess = (low + high) / 2;
+      double letIn = 0;
+      for (const auto& [level, r] : arrivals) letIn += level * r / (1 + guess * (1 - level));
+      (letIn > tries ? low : high) = guess;
+    }
+    repeats = low;
   }
 
   double measuredHeat(const Slice& s) const {
@@ -193,6 +217,7 @@
     if (s.entry.startedAt > 0 && now - late < s.entry.startedAt) return;  // of its life before, or too near it
     const double answers = static_cast<double>(std::max<std::int64_t>(0, r.tries - r.failed));
     Met& met = s.met[r.zone];
+    s.allTries.add(now, static_cast<double>(r.tries), kDemandMemory);
     met.tries.add(now, static_cast<double>(r.tries), kHealthMemory);
     met.failed.add(now, static_cast<double>(std::min(r.failed, r.tries)), kHealthMemory);
     if (r.latency > 0 && answers > 0) {
@@ -722,6 +747,7 @@
 
   void decide() {
     followList();
+    countRepeats();
     sumHeat();
     judgeHealth();
     evacuate();
--- a/src/state.h
+++ b/src/state.h
@@ -56,7 +56,7 @@
   bool listed = false;       // in the list as it stands
   Micros changedAt = 0;      // when it last started, came back or was emptied, as far as seen; 0: never
   std::map<int, Met> met;    // by zone of the proxies
-  Fading answers, latencySum;
+  Fading answers, latencySum, allTries;
   std::deque<std::pair<Micros, double>> latencies;  // for the lowest of a span
   Micros reportedAt = 0;
   Micros hotJudgedAt = 0;
