--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,7 @@
 constexpr Micros kRefillEvery = 1 * kSecond;
 // Admission.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35;  // heard latency as a share of the aim
-constexpr double kStepDown = 0.15, kStepUp = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
+constexpr double kAim = 0.4, kStepLeast = 0.1, kStepDown = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
 constexpr int kUrgentReserve = 2;
@@ -600,7 +600,7 @@
         s.allowance = s.admitted * density * (1 - kStepDown);
         s.allowedAt = now;
       } else if (pressed < kRelaxed && bad < 0.1 && s.allowance > 0 && now - s.allowedAt > settle) {
-        s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStepUp);
+        s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStepLeast);
         s.allowedAt = now;
       }
       if (s.allowance > 0) allowances.push_back(s.allowance);
