A passing cut while pressure is high, beside the slowly learned allowance

Cause: a jammed server needs less than its capacity until its queue is gone, and then nearly all of it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,7 @@
 constexpr Micros kRefillEvery = 1 * kSecond;
 // Admission.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35;  // heard latency as a share of the aim
-constexpr double kAim = 0.4, kStepLeast = 0.1, kStepDown = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
+constexpr double kAim = 0.4, kStepLeast = 0.1, kHaste = 0.7, kHasteLeast = 0.5, kStepDown = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
 constexpr int kUrgentReserve = 2;
@@ -597,10 +597,11 @@
       const double bad = own.tries > 0 ? own.failed / own.tries : 0;
       const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
       if ((pressed > kOverloaded || (bad > 0.2 && pressed > kRelaxed)) && now - s.allowedAt > settle) {
-        s.allowance = s.admitted * density * (1 - kStepDown);
+        s.allowance = (s.allowance > 0 ? std::min(s.allowance, density) : density) * (1 - kStepDown);
+        s.rises = 0;
         s.allowedAt = now;
       } else if (pressed < kRelaxed && bad < 0.1 && s.allowance > 0 && now - s.allowedAt > settle) {
-        s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStepLeast);
+        s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStepLeast * ++s.rises);
         s.allowedAt = now;
       }
       if (s.allowance > 0) allowances.push_back(s.allowance);
@@ -613,7 +614,8 @@
     for (auto& [id, s] : servers) {
       const double density = (heat[id] + hidden[id]) / usableWeight(s);
       // Guards the cold against all loads, whoever sends them: what the warm bear, by usable weight, and no more.
-      const double allowed = isCold(s) ? usual : s.allowance;
+      const double haste = std::clamp(1 - kHaste * (pressure(id) - kOverloaded), kHasteLeast, 1.0);
+      const double allowed = isCold(s) ? usual : s.allowance * haste;
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
     }
     setLevels();
--- a/src/state.h
+++ b/src/state.h
@@ -69,6 +69,7 @@
   Micros failingHold = 0;
   double admitted = 1;       // share of the work for it that is let in
   double allowance = 0;      // heat per usable weight that it may be sent; 0: as much as comes
+  int rises = 0;             // of the allowance, one after the other
   Micros allowedAt = 0;
   bool withdrawn = false;    // sites without slices
 };
