Further tries only after proof while many tries fail or a third of servers is limited

Cause: after a zone loss timed-out tries were repeated elsewhere and made the jam (tries rose by a third as a third of the servers went).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,6 +38,7 @@
 // Admission.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35;  // heard latency as a share of the aim
 constexpr double kAim = 0.4, kStepLeast = 0.1, kHaste = 0.7, kHasteLeast = 0.5, kStepDown = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
+constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
 constexpr int kUrgentReserve = 2;
@@ -588,12 +589,17 @@
   // says at once, before any report, what a server may take that has just got slices or has just started.
   void admit() {
     std::vector<double> allowances;
+    Sum all;
+    std::size_t open = 0;
     double taken = 0, weights = 0;
     for (auto& [id, s] : servers) {
       if (!usable(s) || isCold(s)) continue;
       const double density = (heat[id] + hidden[id]) / usableWeight(s);
       const double pressed = pressure(id);
       const Sum own = met(s);
+      all.tries += own.tries;
+      all.failed += own.failed;
+      ++open;
       const double bad = own.tries > 0 ? own.failed / own.tries : 0;
       const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
       if ((pressed > kOverloaded || (bad > 0.2 && pressed > kRelaxed)) && now - s.allowedAt > settle) {
@@ -610,7 +616,7 @@
     }
     std::sort(allowances.begin(), allowances.end());
     const double usual = weights > 0 ? taken / weights : 0;  // what a unit of weight is known to bear
-    limited = 2 * allowances.size() > servers.size();
+    limited = 3 * allowances.size() > open || all.failed > kStrainedBadShare * all.tries;
     for (auto& [id, s] : servers) {
       const double density = (heat[id] + hidden[id]) / usableWeight(s);
       // Guards the cold against all loads, whoever sends them: what the warm bear, by usable weight, and no more.
