--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -25,6 +25,7 @@
 constexpr double kHotLatency = 2;
 constexpr int kHotReports = 3;
 constexpr Micros kPeriod = 2 * kSecond;
+constexpr double kStrengthLeast = 0.4, kWeaker = 0.9, kStronger = 0.01;
 constexpr Micros kSettledStart = 10 * kSecond;
 // Health.
 constexpr double kFewTries = 6, kBadShare = 0.4, kSharedBadShare = 0.3, kWorseThanFleet = 3;
@@ -124,7 +125,9 @@
     return trust * measuredHeat(s) + (1 - trust) * meanSlice;
   }
 
-  double weight(const Server& s) const { return cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1; }
+  double weight(const Server& s) const {
+    return s.strength * (cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1);
+  }
 
   bool isCold(const Server& s) const {
     return s.entry.startedAt > 0 && now - s.entry.startedAt < cfg.warmAfter;
@@ -522,6 +525,27 @@
     }
   }
 
+  // Departure: weights are not listed, or roughly. A server that is pressed at its fair heat while most are not is
+  // weaker than listed, whatever the cause; it then counts for less until it is at ease for long. Holds against slow
+  // machines, neighbours and costly keys alike; could harm where a short trouble makes many look weak in turn.
+  void judgeStrength() {
+    std::vector<double> pressures;
+    for (const auto& [id, s] : servers) {
+      if (usable(s)) pressures.push_back(pressure(id));
+    }
+    std::sort(pressures.begin(), pressures.end());
+    if (pressures.empty() || pressures[pressures.size() / 2] > kRelaxed) return;
+    for (auto& [id, s] : servers) {
+      const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
+      if (!usable(s) || isCold(s) || now - s.strengthAt < settle || now - s.movedAt < settle) continue;
+      const double p = pressure(id);
+      if (p > kOverloaded && load(id) > meanLoad() * 0.7) s.strength = std::max(kStrengthLeast, s.strength * kWeaker);
+      else if (p < kRelaxed) s.strength = std::min(1.0, s.strength + kStronger);
+      else continue;
+      s.strengthAt = now;
+    }
+  }
+
   bool isHot(const Server& s) const { return s.hotRuns >= kHotReports; }
 
   // Design items 5 and 6: at half the heat of the hottest or nearest above it, then nearest below, then the
@@ -594,7 +618,7 @@
     double taken = 0, weights = 0;
     for (auto& [id, s] : servers) {
       if (!usable(s) || isCold(s)) continue;
-      const double density = (heat[id] + hidden[id]) / usableWeight(s);
+      const double density = (heat[id] + hidden[id]) * s.strength / usableWeight(s);
       const double pressed = pressure(id);
       const Sum own = met(s);
       all.tries += own.tries;
@@ -612,13 +636,13 @@
       }
       if (s.allowance > 0) allowances.push_back(s.allowance);
       taken += s.admitted * (heat[id] + hidden[id]);
-      weights += usableWeight(s);
+      weights += usableWeight(s) / s.strength;
     }
     std::sort(allowances.begin(), allowances.end());
     const double usual = weights > 0 ? taken / weights : 0;  // what a unit of weight is known to bear
     limited = 3 * allowances.size() > open || all.failed > kStrainedBadShare * all.tries;
     for (auto& [id, s] : servers) {
-      const double density = (heat[id] + hidden[id]) / usableWeight(s);
+      const double density = (heat[id] + hidden[id]) * s.strength / usableWeight(s);
       // Guards the cold against all loads, whoever sends them: what the warm bear, by usable weight, and no more.
       const double haste = std::clamp(1 - kHaste * (pressure(id) - kOverloaded), kHasteLeast, 1.0);
       const double allowed = isCold(s) ? usual : s.allowance * haste;
@@ -759,6 +783,7 @@
     sumHeat();
     judgeHealth();
     evacuate();
+    judgeStrength();
     judgeHot();
     coolHot();
     refill();
--- a/src/state.h
+++ b/src/state.h
@@ -59,6 +59,8 @@
   Fading answers, latencySum, allTries;
   std::deque<std::pair<Micros, double>> latencies;  // for the lowest of a span
   Micros reportedAt = 0;
+  double strength = 1;       // what it bears against what its weight says
+  Micros strengthAt = 0;
   Micros hotJudgedAt = 0;
   int hotRuns = 0;
   Micros movedAt = 0;        // last time a slice was ordered off it
