--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -67,6 +67,7 @@
   Micros askAgainAt = 0, askBackoff = 0;
   std::map<ServerId, double> heat, hidden;  // by server: of own slices as decided; of peers' slices as guessed
   bool limited = false;                     // most servers are limited: work is short, not misplaced
+  double usual = 0;                         // what a unit of a warm server's weight bears
   double repeats = 0;                       // how often a refused client comes again
   double meanSlice = 1;                     // heat of a mean slice
   double peers = 1;                         // the whole fleet's heat against that of own slices
@@ -275,12 +276,13 @@
 
   // Heard latency as a share of the aims of what is asked of the server.
   double pressure(const ServerId& id) {
-    double requests = 0;
+    double requests = 0, aims = 0;
     for (const auto& [t, slice] : slices) {
       if (!slice.mine || slice.home != id) continue;
+      aims += measuredHeat(slice);
       for (std::size_t c = 0; c < slice.demand.size(); ++c) requests += rate(slice, c);
     }
-    return requests > 0 && heat[id] > 0 ? latency(servers[id]) / (heat[id] / requests * kSecond) : 0;
+    return requests > 0 && aims > 0 ? latency(servers[id]) / (aims / requests * kSecond) : 0;
   }
 
   // Guards against whatever makes a server useless while it is listed: quick errors, refused or silent connections.
@@ -639,7 +641,7 @@
       weights += usableWeight(s) / s.strength;
     }
     std::sort(allowances.begin(), allowances.end());
-    const double usual = weights > 0 ? taken / weights : 0;  // what a unit of weight is known to bear
+    if (weights > 0) usual = taken / weights;
     limited = 3 * allowances.size() > open || all.failed > kStrainedBadShare * all.tries;
     for (auto& [id, s] : servers) {
       const double density = (heat[id] + hidden[id]) * s.strength / usableWeight(s);
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,692 @@
+// The decision module by symptom, without the bench: events go in, orders come out and are kept as tables.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "peargrade/director.h"
+
+namespace peargrade {
+namespace {
+
+constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
+
+Settings plainSettings() {
+  Settings s;
+  RequestClass low, high, once;
+  low.aim = 800 * kMs;
+  low.deadline = 2500 * kMs;
+  low.worth = 1;
+  low.effect = Effect::Repeatable;
+  high = low;
+  high.aim = 1600 * kMs;
+  high.worth = 6;
+  once = high;
+  once.effect = Effect::Once;
+  once.write = true;
+  s.classes = {low, high, once};
+  s.slices = 24;
+  s.linesPerSecond = 30000;
+  s.linesPerMessage = 8;
+  s.linesWaitingMax = 30000;
+  s.messagesPerProxyMax = 20;
+  s.messagesSpan = 10 * kSecond;
+  s.orderDelay = 300 * kMs;
+  s.orderDelayMax = 800 * kMs;
+  s.reportEvery = 500 * kMs;
+  s.bareMax = 5 * kSecond;
+  s.drainGrace = 2 * kSecond;
+  s.askWithin = 10 * kSecond;
+  s.startCapacity = 0.15;
+  s.warmAfter = 16 * kSecond;
+  s.overloadFactor = 2.5;
+  s.fallAfter = 2 * kSecond;
+  return s;
+}
+
+// One supervisor with its proxies: keeps what was ordered and feeds reports at the pace of the settings.
+class Scene {
+ public:
+  explicit Scene(const Settings& s = plainSettings(), int servers = 4, std::uint64_t seed = 1)
+      : settings(s), director(seed, s) {
+    for (int i = 0; i < servers; ++i) {
+      ServerEntry e;
+      e.server = name(i);
+      e.zone = i % 2;
+      list[e.server] = e;
+    }
+  }
+
+  static std::string name(int i) { return std::string("s_") + static_cast<char>('a' + i); }
+
+  std::vector<Event> startEvents(int slices) {
+    std::vector<Event> ev{news(ListMode::Cached), news(ListMode::Full)};
+    for (int p = 0; p < 3; ++p) ev.push_back(ProxyJoined{p, p % 2, 5, true});
+    for (int t = 0; t < slices; ++t) {
+      const std::string home = name(t % static_cast<int>(list.size()));
+      ev.push_back(SliceCharge{t, true});
+      ev.push_back(StoredLine{t, home, 1});
+      tables[t] = {{home, 1}};
+    }
+    return ev;
+  }
+  void start(int slices) { feed(startEvents(slices)); }
+
+  ListNews news(ListMode mode) const {
+    ListNews n;
+    n.mode = mode;
+    for (const auto& [id, e] : list) n.entries.push_back(e);
+    return n;
+  }
+  // One entry of the list changes and the supervisor is told.
+  std::vector<Action> tell(const std::string& server, ServerState state, Micros startedAt = 0) {
+    ServerEntry e = list.count(server) > 0 ? list[server] : ServerEntry{};
+    e.server = server;
+    e.state = state;
+    if (startedAt > 0) e.startedAt = startedAt;
+    if (state == ServerState::Gone) list.erase(server);
+    else list[server] = e;
+    ListNews n;
+    n.mode = ListMode::Delta;
+    n.entries = {e};
+    return feed({n});
+  }
+
+  std::vector<Action> feed(const std::vector<Event>& events) {
+    const std::vector<Action> out = director.handle(now, events);
+    bool wrote = false;
+    for (const Action& a : out) {
+      if (const auto* line = std::get_if<SetLine>(&a)) {
+        wrote = true;
+        ++linesSent;
+        if (line->weight > 0) tables[line->table][line->server] = line->weight;
+        else tables[line->table].erase(line->server);
+      }
+      if (const auto* admit = std::get_if<Admit>(&a)) {
+        wrote = true;
+        for (int c = 0; c < 3; ++c) {
+          if ((admit->classMask & (1u << c)) == 0) continue;
+          levels[{admit->table, c}] = admit->level;
+          tries[{admit->table, c}] = admit->secondTry;
+        }
+      }
+      if (const auto* log = std::get_if<Log>(&a)) logs.push_back(log->text);
+      if (std::get_if<WatchList>(&a) != nullptr) watchedAt.push_back(now);
+    }
+    if (wrote) messagesAt.push_back(now);
+    return out;
+  }
+
+  std::string home(int t) const {
+    std::string best;
+    double w = 0;
+    for (const auto& [server, weight] : tables.at(t)) {
+      if (weight > w) best = server, w = weight;
+    }
+    return best;
+  }
+  int homesAt(const std::string& server) const {
+    int n = 0;
+    for (const auto& [t, lines] : tables) n += home(t) == server;
+    return n;
+  }
+  int count(const std::string& word) const {
+    int n = 0;
+    for (const std::string& l : logs) n += l.find(word) != std::string::npos;
+    return n;
+  }
+
+  // Lets time pass: every report period each slice is asked for as `rates` say and each server answers as
+  // `latency` and `badShare` say, by zone of the proxies.
+  void run(Micros span) {
+    for (const Micros end = now + span; now < end;) {
+      now += 250 * kMs;
+      std::vector<Event> ev{TimerFired{"sweep"}};
+      if ((now / (250 * kMs)) % 2 == 0) report(ev);
+      feed(ev);
+    }
+  }
+  void report(std::vector<Event>& ev) {
+    std::map<std::string, double> sent;
+    for (const auto& [t, lines] : tables) {
+      for (int c = 0; c < 3; ++c) {
+        const double rate = rates.count({t, c}) > 0 ? rates[{t, c}] : c == 0 ? 10 : 0;
+        const double level = levels.count({t, c}) > 0 ? levels[{t, c}] : 1;
+        const auto n = static_cast<std::int64_t>(rate * settings.reportEvery / kSecond);
+        if (n > 0) ev.push_back(SliceDemand{t, c, n, 0, settings.reportEvery});
+        sent[home(t)] += static_cast<double>(n) * level;
+      }
+    }
+    for (const auto& [server, n] : sent) {
+      for (int zone = 0; zone < 2; ++zone) {
+        const auto mine = static_cast<std::int64_t>(n / 2 + 0.5);
+        if (mine == 0) continue;
+        const double share = badShare.count({server, zone}) > 0 ? badShare[{server, zone}] : 0;
+        const Micros took = latency.count(server) > 0 ? latency[server] : 100 * kMs;
+        const auto failed = static_cast<std::int64_t>(static_cast<double>(mine) * share + 0.5);
+        ev.push_back(ServerReport{zone, server, mine, failed, failed < mine ? took : 0, settings.reportEvery});
+      }
+    }
+  }
+  void bad(const std::string& server, double share) { badShare[{server, 0}] = badShare[{server, 1}] = share; }
+
+  Settings settings;
+  Director director;
+  Micros now = 1000 * kSecond;
+  std::map<std::string, ServerEntry> list;
+  std::map<TableId, std::map<std::string, double>> tables;
+  std::map<std::pair<TableId, int>, double> levels, rates;
+  std::map<std::pair<TableId, int>, SecondTry> tries;
+  std::map<std::string, Micros> latency;
+  std::map<std::pair<std::string, int>, double> badShare;
+  std::vector<std::string> logs;
+  std::vector<Micros> messagesAt, watchedAt;
+  int linesSent = 0;
+};
+
+// ---- Start, charge, store ----
+
+TEST(Start, TheStoresTablesStayAndGetAStandbyInAnotherZone) {
+  Scene s;
+  s.start(8);
+  s.run(2 * kSecond);
+  for (int t = 0; t < 8; ++t) {
+    EXPECT_EQ(s.home(t), Scene::name(t % 4));
+    ASSERT_EQ(s.tables[t].size(), 2u) << t;
+    for (const auto& [server, w] : s.tables[t]) {
+      if (server == s.home(t)) continue;
+      EXPECT_LT(w, 0.01);
+      EXPECT_NE(s.list[server].zone, s.list[s.home(t)].zone);
+    }
+  }
+}
+
+TEST(Start, AQuietFleetSendsNothingFurther) {
+  Scene s;
+  s.start(8);
+  s.run(3 * kSecond);
+  const int before = s.linesSent;
+  s.run(30 * kSecond);
+  EXPECT_EQ(s.linesSent, before);
+}
+
+TEST(Start, NoStandbyWhereASliceHasOneOwner) {
+  Settings settings = plainSettings();
+  settings.oneOwner = true;
+  Scene s(settings);
+  s.start(8);
+  s.run(5 * kSecond);
+  for (int t = 0; t < 8; ++t) EXPECT_EQ(s.tables[t].size(), 1u);
+}
+
+TEST(Start, AnOldListDoesNotEmptyServersItDoesNotKnow) {
+  Scene s;
+  std::vector<Event> ev;
+  ListNews old;
+  old.mode = ListMode::Cached;
+  old.entries = {s.list["s_a"], s.list["s_b"]};
+  ev.push_back(old);
+  ev.push_back(ProxyJoined{0, 0, 5, true});
+  for (int t = 0; t < 4; ++t) {
+    ev.push_back(SliceCharge{t, true});
+    ev.push_back(StoredLine{t, Scene::name(t), 1});
+    s.tables[t] = {{Scene::name(t), 1}};
+  }
+  s.feed(ev);
+  s.run(2 * kSecond);
+  for (int t = 0; t < 4; ++t) EXPECT_EQ(s.home(t), Scene::name(t));
+  s.list.erase("s_d");
+  s.feed({s.news(ListMode::Full)});  // a fresh list without s_d: it is gone
+  EXPECT_NE(s.home(3), "s_d");
+}
+
+TEST(Start, ASliceTakenAwayGetsNoMoreOrders) {
+  Scene s;
+  s.start(8);
+  s.run(2 * kSecond);
+  s.feed({SliceCharge{0, false}});
+  const auto out = s.tell("s_a", ServerState::Draining);
+  for (const Action& a : out) {
+    const auto* line = std::get_if<SetLine>(&a);
+    EXPECT_TRUE(line == nullptr || line->table != 0);
+  }
+  EXPECT_NE(s.home(4), "s_a");
+}
+
+TEST(Start, IdenticalEventsGiveIdenticalActions) {
+  auto play = [](std::uint64_t seed) {
+    Scene s(plainSettings(), 5, seed);
+    s.start(20);
+    s.latency["s_b"] = 90 * kMs;
+    s.run(5 * kSecond);
+    s.latency["s_b"] = 900 * kMs;
+    s.run(10 * kSecond);
+    s.tell("s_c", ServerState::Gone);
+    s.run(5 * kSecond);
+    return std::make_pair(s.tables, s.logs);
+  };
+  EXPECT_EQ(play(7), play(7));
+}
+
+// ---- Placement and evacuation (design items 1 and 2) ----
+
+TEST(Placement, AnUnhomedSliceGoesToTheCoolest) {
+  Scene s;
+  s.rates[{3, 0}] = 2;  // s_d holds slices 3 and 7; make it the coolest
+  s.rates[{7, 0}] = 2;
+  s.start(8);
+  s.run(8 * kSecond);
+  s.feed({SliceCharge{9, true}});
+  EXPECT_EQ(s.home(9), "s_d");
+}
+
+TEST(Placement, DrainingAndGoneServersAreLeftInTheSameReply) {
+  for (const ServerState state : {ServerState::Draining, ServerState::Gone}) {
+    Scene s;
+    s.start(8);
+    s.run(8 * kSecond);
+    s.tell("s_b", state);
+    for (int t = 0; t < 8; ++t) EXPECT_EQ(s.tables[t].count("s_b"), 0u) << t;
+  }
+}
+
+TEST(Placement, ABatchIsSpreadByProjectedHeat) {
+  Scene s;
+  s.start(12);  // three slices a server
+  s.run(8 * kSecond);
+  s.tell("s_a", ServerState::Gone);
+  EXPECT_EQ(s.homesAt("s_b"), 4);
+  EXPECT_EQ(s.homesAt("s_c"), 4);
+  EXPECT_EQ(s.homesAt("s_d"), 4);
+}
+
+// A supervisor that gets slices after its peer died has heard nothing of them: as cold slices they would all have
+// gone to one server (seen to push a cold one over).
+TEST(Placement, SlicesJustGivenAreSpreadAsMeanOnes) {
+  Scene s;
+  s.start(8);
+  s.run(8 * kSecond);
+  std::vector<Event> ev;
+  for (int t = 12; t < 20; ++t) {
+    ev.push_back(SliceCharge{t, true});
+    ev.push_back(StoredLine{t, "s_gone", 1});
+    s.tables[t] = {{"s_gone", 1}};
+  }
+  s.feed(ev);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(s.homesAt(Scene::name(i)), 4) << i;
+}
+
+TEST(Placement, HeavierListedServersTakeMore) {
+  Settings settings = plainSettings();
+  settings.listedWeights = true;
+  Scene s(settings);
+  s.list["s_d"].weight = 4;
+  s.start(8);
+  s.run(8 * kSecond);
+  s.tell("s_a", ServerState::Gone);
+  EXPECT_EQ(s.homesAt("s_d"), 4);
+}
+
+TEST(Placement, AServerThatRestartedUnderItsSlicesIsLeftAtOnce) {
+  Scene s;
+  s.start(12);
+  s.run(8 * kSecond);
+  s.tell("s_b", ServerState::Ready, s.now - 500 * kMs);
+  EXPECT_EQ(s.homesAt("s_b"), 0);
+  EXPECT_EQ(s.count("restarted"), 3);
+}
+
+TEST(Placement, TheSameRestartToldTwiceMovesNothingTwice) {
+  Scene s;
+  s.start(12);
+  s.run(8 * kSecond);
+  const Micros at = s.now - 500 * kMs;
+  s.tell("s_b", ServerState::Ready, at);
+  s.run(kSecond);
+  const int moved = s.count("restarted");
+  s.tell("s_b", ServerState::Ready, at);
+  EXPECT_EQ(s.count("restarted"), moved);
+}
+
+TEST(Placement, AReturnedServerIsFilledSlowlyAndOnlyAfterItsFirstSeconds) {
+  Scene s;
+  s.start(16);
+  s.run(8 * kSecond);
+  s.tell("s_b", ServerState::Ready, s.now - 500 * kMs);
+  s.run(3 * kSecond);
+  EXPECT_EQ(s.homesAt("s_b"), 0);
+  s.run(30 * kSecond);
+  EXPECT_GE(s.homesAt("s_b"), 2);
+  EXPECT_GE(s.count("refill"), 2);
+}
+
+TEST(Placement, WithNoServerLeftTablesStayAsTheyAre) {
+  Scene s(plainSettings(), 1);
+  s.start(4);
+  s.run(2 * kSecond);
+  s.tell("s_a", ServerState::Draining);
+  for (int t = 0; t < 4; ++t) EXPECT_EQ(s.home(t), "s_a");
+}
+
+// ---- Health ----
+
+TEST(Health, AServerThatFailsFastIsLeft) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  s.bad("s_b", 0.9);
+  s.run(4 * kSecond);
+  EXPECT_EQ(s.homesAt("s_b"), 0);
+  EXPECT_EQ(s.count("s_b fails"), 1);
+}
+
+TEST(Health, WhenMostFailNobodyFlees) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  for (int i = 0; i < 4; ++i) s.bad(Scene::name(i), 0.8);
+  s.run(5 * kSecond);
+  EXPECT_EQ(s.count("fails"), 0);
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(s.homesAt(Scene::name(i)), 3);
+}
+
+TEST(Health, AZoneThatSeesMostFailIsNotBelieved) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  for (int i = 0; i < 3; ++i) s.badShare[{Scene::name(i), 1}] = 1;  // the proxies of zone 1 are cut off
+  s.run(5 * kSecond);
+  EXPECT_EQ(s.count("fails"), 0);
+}
+
+TEST(Health, ASlowServerThatRefusesIsOverloadedNotBroken) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  s.bad("s_b", 0.5);
+  s.latency["s_b"] = 700 * kMs;
+  s.run(3 * kSecond);
+  EXPECT_EQ(s.count("s_b fails"), 0);
+}
+
+TEST(Health, ABrokenServerIsTriedAgainLaterAndLaterStill) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  s.bad("s_b", 1);
+  s.run(60 * kSecond);
+  EXPECT_GE(s.count("s_b fails"), 2);
+  EXPECT_LE(s.count("s_b fails"), 4);
+}
+
+// ---- The hot rule (design items 3 to 9) ----
+
+// s_a holds slices 0, 4, 8, 12 of which slice 0 is the hottest and slice 4 is nearest above half of it.
+Scene hotScene(std::uint64_t seed = 1) {
+  Settings settings = plainSettings();
+  settings.slices = 16;  // all in charge: nothing is hidden
+  Scene s(settings, 4, seed);
+  s.rates[{0, 0}] = 32;
+  s.rates[{4, 0}] = 18;
+  s.rates[{8, 0}] = 12;
+  s.rates[{12, 0}] = 4;
+  s.start(16);
+  s.run(6 * kSecond);
+  return s;
+}
+
+TEST(Hot, TheSliceNearestHalfOfTheHottestLeavesAndOnlyOne) {
+  Scene s = hotScene();
+  s.latency["s_a"] = 350 * kMs;
+  s.run(4 * kSecond);
+  EXPECT_EQ(s.count(": hot"), 1);
+  EXPECT_NE(s.home(4), "s_a");
+  EXPECT_EQ(s.home(0), "s_a");
+  EXPECT_EQ(s.home(8), "s_a");
+}
+
+TEST(Hot, AMoveIsTwoChangedLinesBesidesTheStandby) {
+  Scene s = hotScene();
+  const int before = s.linesSent;
+  s.latency["s_a"] = 350 * kMs;
+  s.run(4 * kSecond);
+  ASSERT_EQ(s.count(": hot"), 1);
+  EXPECT_LE(s.linesSent - before, 4);
+}
+
+TEST(Hot, SlowButNotAboveItsShareIsNotHot) {
+  Scene s;
+  s.rates[{0, 0}] = 2;
+  s.start(16);
+  s.run(6 * kSecond);
+  s.latency["s_a"] = 350 * kMs;
+  s.run(6 * kSecond);
+  EXPECT_EQ(s.count(": hot"), 0);
+}
+
+TEST(Hot, AboveItsShareButQuickIsNotHot) {
+  Scene s = hotScene();
+  s.run(10 * kSecond);
+  EXPECT_EQ(s.count(": hot"), 0);
+}
+
+TEST(Hot, WhenAllAreSlowNothingMoves) {
+  Scene s;
+  s.start(16);
+  s.run(6 * kSecond);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 400 * kMs;
+  s.run(6 * kSecond);
+  EXPECT_EQ(s.count(": hot"), 0);
+}
+
+TEST(Hot, ASliceTooHotForAnyTargetStays) {
+  Settings settings = plainSettings();
+  settings.slices = 4;
+  Scene s(settings);
+  s.rates[{0, 0}] = 200;  // alone above a quarter of all
+  s.start(4);
+  s.run(6 * kSecond);
+  s.latency["s_a"] = 350 * kMs;
+  s.run(8 * kSecond);
+  EXPECT_EQ(s.home(0), "s_a");
+}
+
+TEST(Hot, WaitsOneToThreePeriodsBetweenMovesOffOneServer) {
+  Scene s = hotScene();
+  s.latency["s_a"] = 350 * kMs;
+  s.run(4 * kSecond);
+  ASSERT_EQ(s.count(": hot"), 1);
+  s.run(1500 * kMs);
+  EXPECT_EQ(s.count(": hot"), 1);
+}
+
+TEST(Hot, AServerStartedWithinTenSecondsIsNoTarget) {
+  Scene s = hotScene();
+  s.tell("s_e", ServerState::Ready, s.now);
+  s.latency["s_a"] = 350 * kMs;
+  s.run(4 * kSecond);
+  EXPECT_EQ(s.homesAt("s_e"), 0);
+}
+
+// ---- Admission and further tries ----
+
+TEST(Admission, OverloadRefusesTheLeastWorthPerWorkFirst) {
+  Scene s;
+  for (int t = 0; t < 12; ++t) s.rates[{t, 1}] = 10;
+  s.start(12);
+  s.run(6 * kSecond);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+  s.run(6 * kSecond);
+  for (int t = 0; t < 12; ++t) {
+    ASSERT_GT(s.levels.count({t, 0}), 0u);
+    EXPECT_LT((s.levels[{t, 0}]), 1);
+    const double high = s.levels.count({t, 1}) > 0 ? s.levels[{t, 1}] : 1;
+    EXPECT_GT(high, (s.levels[{t, 0}]));
+  }
+}
+
+TEST(Admission, LevelsComeBackWhenTheServersAreAtEase) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 700 * kMs;
+  s.run(5 * kSecond);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 100 * kMs;
+  s.run(40 * kSecond);
+  for (const auto& [key, level] : s.levels) EXPECT_EQ(level, 1) << key.first;
+}
+
+TEST(Admission, AColdServerIsSentNoMoreThanItsRampBears) {
+  Scene s(plainSettings(), 3);
+  s.start(12);
+  s.run(8 * kSecond);
+  s.tell("s_b", ServerState::Ready, s.now - 100 * kMs);
+  s.tell("s_a", ServerState::Gone);
+  s.tell("s_c", ServerState::Gone);  // only the cold one is left: it must take all the slices
+  s.run(2 * kSecond);
+  EXPECT_EQ(s.homesAt("s_b"), 12);
+  for (int t = 0; t < 12; ++t) EXPECT_LT((s.levels[{t, 0}]), 0.5) << t;
+}
+
+TEST(Retries, NeverBeyondProofForWhatMayTakeEffectTwice) {
+  Settings settings = plainSettings();
+  settings.classes[1].effect = Effect::ByKey;
+  settings.classes[1].dedupScope = DedupScope::Cell;
+  settings.classes[1].keyTtl = 2 * kSecond;
+  Scene s(settings);
+  s.start(12);
+  s.run(6 * kSecond);
+  EXPECT_EQ((s.tries[{kAllTables, 0}]), SecondTry::AfterAnyFailure);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+  s.run(6 * kSecond);
+  for (const auto& [key, how] : s.tries) {
+    EXPECT_TRUE(key.second == 0 || how <= SecondTry::AfterProof);
+  }
+}
+
+TEST(Retries, UnderStrainOnlyAfterProof) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  for (int i = 0; i < 4; ++i) s.bad(Scene::name(i), 0.4);
+  s.run(4 * kSecond);
+  EXPECT_EQ((s.tries[{kAllTables, 0}]), SecondTry::AfterProof);
+}
+
+TEST(Retries, AProxyThatJoinsIsToldToo) {
+  Scene s;
+  s.start(12);
+  s.run(6 * kSecond);
+  s.tries.clear();
+  s.feed({ProxyJoined{9, 0, 5, true}});
+  s.run(kSecond);
+  EXPECT_EQ((s.tries[{kAllTables, 0}]), SecondTry::AfterAnyFailure);
+}
+
+// ---- Pacing ----
+
+TEST(Pacing, MessagesToAProxyStayUnderTheLimitInARollingDeploy) {
+  Settings settings = plainSettings();
+  settings.messagesPerProxyMax = 8;
+  Scene s(settings, 12);
+  s.start(24);
+  s.run(3 * kSecond);
+  for (int i = 0; i < 11; ++i) {
+    s.tell(Scene::name(i), ServerState::Draining);
+    s.run(500 * kMs);
+    s.tell(Scene::name(i), ServerState::Ready, s.now);
+    s.run(250 * kMs);
+  }
+  for (std::size_t i = 0; i < s.messagesAt.size(); ++i) {
+    const auto within = std::count_if(s.messagesAt.begin(), s.messagesAt.end(), [&](Micros at) {
+      return at >= s.messagesAt[i] && at < s.messagesAt[i] + settings.messagesSpan;
+    });
+    EXPECT_LE(within, 8);
+  }
+}
+
+TEST(Pacing, RoutineChangesLeaveRoomForADrain) {
+  Scene s;
+  s.start(16);
+  for (int i = 0; i < 40; ++i) {  // joins call for the standing orders again and again
+    s.feed({ProxyJoined{10 + i, 0, 1, true}});
+    s.run(250 * kMs);
+  }
+  s.tell("s_b", ServerState::Draining);
+  for (int t = 0; t < 16; ++t) EXPECT_EQ(s.tables[t].count("s_b"), 0u) << t;
+}
+
+TEST(Pacing, AFullQueueHoldsOrdersBack) {
+  Settings settings = plainSettings();
+  settings.linesPerSecond = 20;
+  settings.linesWaitingMax = 60;
+  Scene s(settings);
+  s.start(8);
+  s.run(250 * kMs);  // the first message fills the queue
+  const std::size_t sent = s.messagesAt.size();
+  s.tell("s_b", ServerState::Draining);
+  EXPECT_EQ(s.messagesAt.size(), sent);
+  s.run(20 * kSecond);
+  EXPECT_EQ(s.homesAt("s_b"), 0);
+}
+
+// ---- The list on request ----
+
+TEST(List, IsSubscribedAtStartAndAgainAfterErrorsWithBackoff) {
+  Settings settings = plainSettings();
+  settings.listOnRequest = true;
+  Scene s(settings);
+  s.start(8);
+  ASSERT_EQ(s.watchedAt.size(), 1u);
+  for (int i = 0; i < 4; ++i) {
+    s.feed({ListNews{ListMode::Failed, 0, {}}});
+    s.run(3 * kSecond);
+  }
+  ASSERT_EQ(s.watchedAt.size(), 5u);
+  EXPECT_LT(s.watchedAt[1] - s.watchedAt[0], kSecond);
+  for (std::size_t i = 1; i < s.watchedAt.size(); ++i) {
+    EXPECT_LE(s.watchedAt[i] - s.watchedAt[i - 1], settings.askWithin);
+  }
+}
+
+TEST(List, PushedListsAreNotAskedFor) {
+  Scene s;
+  s.start(8);
+  s.run(5 * kSecond);
+  EXPECT_TRUE(s.watchedAt.empty());
+}
+
+// ---- Contradictory observations ----
+
+TEST(Odd, ReportsOnStrangersAndUnknownClassesChangeNothing) {
+  Scene s;
+  s.start(8);
+  s.run(3 * kSecond);
+  const auto before = s.tables;
+  s.feed({ServerReport{0, "s_stranger", 9, 9, 0, kSecond}, SliceDemand{23, 0, 9, 0, kSecond},
+          SliceDemand{0, 7, 9, 0, kSecond}, StoredLine{23, "s_a", 1}, ProxyLeft{77}, OrderApplied{77, 3, 5},
+          ServerReport{0, "s_a", 0, 0, 0, 0}, TimerFired{"unheard of"}, PeerNote{1, "x"},
+          ProbeResult{"s_stranger", ProbeOutcome::Broken, 0}});
+  s.run(3 * kSecond);
+  EXPECT_EQ(s.tables, before);
+}
+
+TEST(Odd, ALongStallWithBunchedReportsMovesNothing) {
+  Scene s;
+  s.start(8);
+  s.run(6 * kSecond);
+  const auto before = s.tables;
+  s.now += 8 * kSecond;
+  std::vector<Event> ev;
+  for (int i = 0; i < 16; ++i) s.report(ev);
+  ev.push_back(TimerFired{"sweep"});
+  s.feed(ev);
+  s.run(4 * kSecond);
+  EXPECT_EQ(s.tables, before);
+}
+
+}  // namespace
+}  // namespace peargrade
