--- a/include/peargrade/director.h
+++ b/include/peargrade/director.h
@@ -36,32 +36,32 @@
 struct Settings {
   std::vector<RequestClass> classes;
   int supervisors = 1;
-  int slices = 0;                   // 0: tables are per proxy, not per slice
-  bool listOnRequest = false;       // the server list is sent only after WatchList or FetchList
-  bool listedWeights = false;       // the list's weights mean something
+  int slices = 0;              // 0: tables are per proxy, not per slice
+  bool listOnRequest = false;  // the server list is sent only after WatchList or FetchList
+  bool listedWeights = false;  // the list's weights mean something
   bool probesAllowed = false;
   bool peerNotesAllowed = false;
-  bool oneOwner = false;            // a slice may have one line only
+  bool oneOwner = false;  // a slice may have one line only
   LevelUnit levelUnit = LevelUnit::Share;
-  int usualSecondTry = 0;           // what proxies do where nothing is ordered
-  double tryAims = 1;               // with SecondTry::AfterAnyFailure a try waits this many aims
-  double linesPerSecond = 1e9;      // pace of the order channel
-  double linesPerMessage = 0;       // fixed cost of a message
-  double linesWaitingMax = 1e9;     // rule: more must never wait in the channel
-  int messagesPerProxyMax = 0;      // rule: at most so many messages to a proxy in messagesSpan; 0: no limit
+  int usualSecondTry = 0;        // what proxies do where nothing is ordered
+  double tryAims = 1;            // with SecondTry::AfterAnyFailure a try waits this many aims
+  double linesPerSecond = 1e9;   // pace of the order channel
+  double linesPerMessage = 0;    // fixed cost of a message
+  double linesWaitingMax = 1e9;  // rule: more must never wait in the channel
+  int messagesPerProxyMax = 0;   // rule: at most so many messages to a proxy in messagesSpan; 0: no limit
   Micros messagesSpan = 0;
-  Micros orderDelay = 0;            // mean and longest way of a message to a proxy
+  Micros orderDelay = 0;  // mean and longest way of a message to a proxy
   Micros orderDelayMax = 0;
   Micros reportEvery = 1000000;
-  Micros lease = 0;                 // oneOwner: a proxy that lost its stream goes on writing so long
-  Micros writeSettle = 0;           // oneOwner: a write taken in is finished within this time
-  Micros bareMax = 0;               // rule: a slice may have no usable line for so long
+  Micros lease = 0;        // oneOwner: a proxy that lost its stream goes on writing so long
+  Micros writeSettle = 0;  // oneOwner: a write taken in is finished within this time
+  Micros bareMax = 0;      // rule: a slice may have no usable line for so long
   Micros drainGrace = 0;
-  Micros askWithin = 0;             // listOnRequest: the list must have been asked for within this time
-  double startCapacity = 1;         // a server starts at this share of its capacity
-  Micros warmAfter = 0;             // and is warm after this time
-  double overloadFactor = 1;        // rule: a cold server falls over at so many times its present capacity
-  Micros fallAfter = 0;             // sent for so long
+  Micros askWithin = 0;       // listOnRequest: the list must have been asked for within this time
+  double startCapacity = 1;   // a server starts at this share of its capacity
+  Micros warmAfter = 0;       // and is warm after this time
+  double overloadFactor = 1;  // rule: a cold server falls over at so many times its present capacity
+  Micros fallAfter = 0;       // sent for so long
 };
 
 // ---- Events ----
@@ -189,8 +189,8 @@
   std::string text;
 };
 
-using Action = std::variant<SetTimer, WatchList, FetchList, Probe, TellPeers, SetLine, ClearTable, Withdraw, Admit,
-                            Mark, Log>;
+using Action = std::variant<SetTimer, WatchList, FetchList, Probe, TellPeers, SetLine, ClearTable, Withdraw,
+                            Admit, Mark, Log>;
 
 // One supervisor. Identical events (and seed) give identical actions; nothing is shared between Directors.
 class Director {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,10 +1,8 @@
 // The decision module of peargrade: every decision, table and tuned value is in this file.
 // Its interface is include/peargrade/director.h; src/state.h holds the records it keeps.
-// Parts, in order: estimates, placement and evacuation, the hot rule, admission and retries, pacing.
-#include <algorithm>
+// Parts, in order: estimates, placement and evacuation, the hot rule, admission and retries, pacing, events.
 #include <cstdio>
-#include <set>
-#include <type_traits>
+#include <tuple>
 
 #include "peargrade/director.h"
 #include "state.h"
@@ -16,91 +14,101 @@
 
 // Estimates.
 constexpr Micros kSweepEvery = 250 * kMs;
-constexpr Micros kDemandMemory = 5 * kSecond;
-constexpr Micros kHealthMemory = 2 * kSecond;
-constexpr Micros kReportsLag = 1 * kSecond;  // reports are about this late
+constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond;
+constexpr Micros kReportsLag = 1 * kSecond;  // reports are about this late; no setting tells
 constexpr double kFewAnswers = 4, kRepeatsMost = 3;
-// The design's hot rule.
 constexpr Micros kLowestSpan = 30 * kSecond;
-constexpr double kHotLatency = 2;
-constexpr int kHotReports = 3;
-constexpr Micros kPeriod = 2 * kSecond;
-constexpr double kStrengthLeast = 0.4, kWeaker = 0.9, kStronger = 0.01;
-constexpr Micros kSettledStart = 10 * kSecond;
-// Health.
-constexpr double kFewTries = 6, kBadShare = 0.4, kSharedBadShare = 0.3, kWorseThanFleet = 3;
+// Health: a server fails from this share of tries, if that is so many times what the others show.
+constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kSharedBadShare = 0.3,
+                 kStillAnswers = 0.2;
 constexpr Micros kFailingHold = 8 * kSecond;
 // Placement.
 constexpr double kColdDiscount = 0.6;   // a cold server has cold keys too
 constexpr double kNearlyCoolest = 1.1;  // among these the seed picks, so that supervisors differ
 constexpr double kStandbyShare = 0.001;
 constexpr double kRefillBelow = 0.8;
-constexpr Micros kRefillEvery = 1 * kSecond;
-// Admission.
-constexpr double kOverloaded = 0.55, kRelaxed = 0.35;  // heard latency as a share of the aim
-constexpr double kAim = 0.4, kStepLeast = 0.1, kHaste = 0.7, kHasteLeast = 0.5, kStepDown = 0.1, kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1;
+constexpr Micros kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond, kTargetAge = 2 * kSecond;
+// The hot rule of the design.
+constexpr double kHotLatency = 2;
+constexpr int kHotReports = 3;
+constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
+constexpr double kStrengthLeast = 0.4, kWeaker = 0.9, kStronger = 0.01, kFairLoad = 0.7;
+// Admission: pressure is heard latency as a share of the aim.
+constexpr double kOverloaded = 0.55, kRelaxed = 0.35, kRefusing = 0.2, kStep = 0.1;
+constexpr double kHaste = 0.7, kHasteLeast = 0.5;
+constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
 constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
 constexpr int kUrgentReserve = 2;
-constexpr double kQueueShare = 0.5;  // of the lines that may wait, in case the channel is slowed
-constexpr Micros kRoutineEvery = 500 * kMs;
+constexpr double kQueueShare = 0.5, kSlowChannel = 2;  // the channel may be slower than it says
+constexpr Micros kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
-std::string text(const char* format, const std::string& a, const std::string& b, double x = 0, double y = 0) {
-  char line[200];
-  std::snprintf(line, sizeof line, format, a.c_str(), b.c_str(), x, y);
-  return line;
-}
+double seconds(Micros span) { return static_cast<double>(span) / kSecond; }
 
 }  // namespace
 
 struct Director::State {
+  using ServerRef = std::pair<const ServerId, Server>;
+
   Settings cfg;
   Rng rng;
   Micros now = 0;
-  Micros startedAt = 0;
   std::vector<Action> out;
   std::map<ServerId, Server> servers;
   std::map<TableId, Slice> slices;
-  std::map<ProxyId, Proxy> proxies;
-  bool booted = false, listFresh = false, subscribed = false, rulesSent = false, limitedSent = false, urgent = false;
-  Micros askAgainAt = 0, askBackoff = 0;
-  std::map<ServerId, double> heat, hidden;  // by server: of own slices as decided; of peers' slices as guessed
-  bool limited = false;                     // most servers are limited: work is short, not misplaced
-  double usual = 0;                         // what a unit of a warm server's weight bears
-  double repeats = 0;                       // how often a refused client comes again
-  double meanSlice = 1;                     // heat of a mean slice
-  double peers = 1;                         // the whole fleet's heat against that of own slices
-  std::deque<Micros> messages;              // when replies that write to proxies went out
-  double queued = 0;                        // lines that wait in the channel, as reckoned
+  std::set<ProxyId> proxies;
+  bool booted = false, listFresh = false, subscribed = false;
+  Micros askAgainAt = 0, askBackoff = kAskFirst;
+  // Of the fleet, reckoned anew for each decision.
+  double allHeat = 0, allWeight = 0;  // weight of usable servers, as if all were warm
+  double meanSlice = 1, peers = 1;  // heat of a mean slice; the whole fleet's heat against that of own slices
+  double repeats = 0;               // how often a refused client comes again
+  double usual = 0;                 // heat that a unit of a warm server's listed weight bears
+  bool strained = false, strainedSent = false, rulesSent = false;
+  bool urgent = false;          // an order that waits serves a drain, a failure or a start
+  std::deque<Micros> messages;  // when replies that write to proxies went out
+  double queued = 0;            // lines that wait in the channel, as reckoned
   Micros queuedAt = 0, routineAt = 0;
+  int lastMark = 0;
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {}
 
   // ---- Estimates: heat, latency, health ----
 
   // Work isn't told; the aim of a class stands for it, since operators grant heavier requests more time.
-  double work(int cls) const { return static_cast<double>(cfg.classes[cls].aim) / kSecond; }
+  double work(std::size_t cls) const { return seconds(cfg.classes[cls].aim); }
 
   double rate(const Slice& s, std::size_t cls) const {
-    if (cls >= s.demand.size()) return 0;
-    const double seen = static_cast<double>(now - s.givenAt) / kDemandMemory;
-    const double memory = static_cast<double>(kDemandMemory) / kSecond * (1 - std::exp(-std::max(seen, 0.2)));
-    const double refused = cls < s.sentLevels.size() ? 1 - s.sentLevels[cls] : 0;
-    return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * refused);
+    const double seen = std::max(0.2, static_cast<double>(now - s.givenAt) / kDemandMemory);
+    const double memory = seconds(kDemandMemory) * (1 - std::exp(-seen));
+    return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * (1 - s.sentLevels[cls]));
+  }
+
+  double measuredHeat(const Slice& s) const {
+    double sum = 0;
+    for (std::size_t c = 0; c < s.demand.size(); ++c) sum += rate(s, c) * work(c);
+    return sum;
+  }
+
+  // Guards against taking a slice just given, of which no report has come yet, for a cold one: it counts as a
+  // mean slice until it has been heard of for a while. Otherwise a whole batch of them lands on one server.
+  double heatOf(const Slice& s) const {
+    const double known = static_cast<double>(now - s.givenAt - kReportsLag) / kDemandMemory;
+    const double trust = std::clamp(known, 0.0, 1.0);
+    return trust * measuredHeat(s) + (1 - trust) * meanSlice;
   }
 
-  // Clients that were refused come again and are counted again, and at some sites are refused again: taken for new
-  // demand they would lower the levels, and so bring more of themselves. How many times they come is what makes the
-  // tries that the servers saw fit the levels in force.
+  // Clients that were refused come again and are counted again, and at some sites are refused again: taken
+  // for new demand they would lower the levels, and so bring more of themselves. How many times they come is
+  // what makes the tries that the servers saw fit the levels in force.
   void countRepeats() {
     double tries = 0;
     std::vector<std::pair<double, double>> arrivals;  // level, rate
     repeats = 0;
-    for (const auto& [id, s] : servers) tries += s.allTries.at(now, kDemandMemory);
-    tries /= static_cast<double>(kDemandMemory) / kSecond;
-    for (const auto& [id, s] : slices) {
-      for (std::size_t c = 0; s.mine && c < s.demand.size(); ++c) arrivals.emplace_back(s.sentLevels[c], rate(s, c));
+    for (const auto& [id, s] : servers) tries += s.allTries.at(now, kDemandMemory) / seconds(kDemandMemory);
+    for (const auto& [t, s] : slices) {
+      for (std::size_t c = 0; c < s.demand.size(); ++c) arrivals.emplace_back(s.sentLevels[c], rate(s, c));
     }
     double low = 0, high = kRepeatsMost;
     for (int i = 0; i < 6; ++i) {
@@ -112,139 +120,93 @@
     repeats = low;
   }
 
-  double measuredHeat(const Slice& s) const {
-    double sum = 0;
-    for (std::size_t c = 0; c < s.demand.size(); ++c) sum += rate(s, c) * work(static_cast<int>(c));
-    return sum;
-  }
-
-  // Guards against taking a slice just given, of which no report has come yet, for a cold one: it counts as a mean
-  // slice until it has been heard of for a while. Otherwise a whole batch of them lands on one server.
-  double heatOf(const Slice& s) const {
-    const double known = static_cast<double>(now - s.givenAt - kReportsLag) / kDemandMemory;
-    const double trust = std::clamp(known, 0.0, 1.0);
-    return trust * measuredHeat(s) + (1 - trust) * meanSlice;
-  }
-
-  double weight(const Server& s) const {
-    return s.strength * (cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1);
-  }
-
-  bool isCold(const Server& s) const {
-    return s.entry.startedAt > 0 && now - s.entry.startedAt < cfg.warmAfter;
+  double listedWeight(const Server& s) const {
+    return cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1;
   }
+  double weight(const Server& s) const { return s.strength * listedWeight(s); }
 
   bool startedWithin(const Server& s, Micros span) const {
     return s.entry.startedAt > 0 && now - s.entry.startedAt < span;
   }
+  bool isCold(const Server& s) const { return startedWithin(s, cfg.warmAfter); }
 
-  // The part of a server's weight that can be used now: a cold one ramps up evenly over the stated time.
-  double usableWeight(const Server& s) const {
-    if (!isCold(s)) return weight(s);
+  // The part of its capacity that a server has now: a cold one ramps up evenly over the stated time.
+  double ramp(const Server& s) const {
+    if (!isCold(s)) return 1;
     const double age = std::max(0.0, static_cast<double>(now - s.entry.startedAt) / cfg.warmAfter);
-    return weight(s) * kColdDiscount * (cfg.startCapacity + (1 - cfg.startCapacity) * age);
+    return kColdDiscount * (cfg.startCapacity + (1 - cfg.startCapacity) * age);
   }
 
-  bool ready(const Server& s) const { return s.listed && s.entry.state == ServerState::Ready; }
-  bool usable(const Server& s) const { return ready(s) && !s.failing; }
-
-  double latency(const Server& s) const {
-    const double n = s.answers.at(now, kHealthMemory);
-    return n < 0.5 ? 0 : s.latencySum.at(now, kHealthMemory) / n;
+  // Projected heat per unit of usable weight. Peers are taken to send a changed server as much as this one
+  // does.
+  double load(const Server& s, double more = 0) const {
+    return (s.heat + s.hidden + more * (s.changedAt > 0 ? peers : 1)) / std::max(1e-9, weight(s) * ramp(s));
   }
 
-  double lowestLatency(const Server& s) const {
-    double low = 0;
-    for (const auto& [at, l] : s.latencies) low = low == 0 ? l : std::min(low, l);
-    return low;
+  double meanLoad() const {
+    double weights = 0;
+    for (const auto& [id, s] : servers) weights += s.usable() ? weight(s) * ramp(s) : 0;
+    return weights > 0 ? allHeat / weights : 0;
   }
 
-  double latencyRatio(const Server& s) const {  // 1: unheard servers count as average
-    const double low = lowestLatency(s), l = latency(s);
-    return low > 0 && l > 0 ? l / low : 1;
+  // Time until the reports show what was ordered.
+  Micros settle() const { return cfg.orderDelay + cfg.reportEvery + kReportsLag; }
+
+  Tally tallyOf(const Server& s, const std::set<int>& blind) const {
+    Tally sum;
+    for (const auto& [zone, met] : s.met) {
+      if (blind.count(zone) > 0) continue;
+      sum.tries += met.tries.at(now, kHealthMemory);
+      sum.failed += met.failed.at(now, kHealthMemory);
+    }
+    return sum;
   }
 
-  // Heat by server, from the tables as decided, so that moves in flight count at their target. What peers' slices
-  // bring is unseen: the store's first tables are taken as fair, so it is what own slices lacked there at first;
-  // on a server that changed since, peers are taken to have done as this supervisor did.
-  void sumHeat() {
-    heat.clear();
-    hidden.clear();
-    peers = 1;
-    double all = 0, weights = 0;
+  // Heat by server, from the tables as decided, so that moves in flight count at their target. What peers'
+  // slices bring is unseen: the store's first tables are taken as fair, so it is what own slices lacked there
+  // at first; on a server that changed since, peers are taken to have done as this supervisor did.
+  void reckon() {
+    countRepeats();
     int mine = 0, known = 0;
-    std::map<ServerId, double> first;
-    meanSlice = 0;
-    for (const auto& [id, s] : slices) {
-      if (!s.mine || now - s.givenAt < kReportsLag + kDemandMemory / 2) continue;
-      meanSlice += measuredHeat(s);
+    double sum = 0, own = 0, weights = 0;
+    for (const auto& [t, s] : slices) {
+      if (now - s.givenAt < kReportsLag + kDemandMemory / 2) continue;
+      sum += measuredHeat(s);
       ++known;
     }
-    meanSlice = known > 0 && meanSlice > 0 ? meanSlice / known : 1;
-    for (const auto& [id, s] : slices) {
-      if (!s.mine) continue;
+    meanSlice = sum > 0 ? sum / known : 1;
+    std::map<ServerId, double> first, requests, aims;
+    allWeight = 0;
+    for (auto& [id, s] : servers) s.heat = s.hidden = 0;
+    for (const auto& [t, s] : slices) {
       const double h = heatOf(s);
-      heat[s.home] += h;
+      servers[s.home].heat += h;
       first[s.firstHome] += h;
-      all += h;
+      own += h;
       ++mine;
+      aims[s.home] += measuredHeat(s);
+      for (std::size_t c = 0; c < s.demand.size(); ++c) requests[s.home] += rate(s, c);
     }
-    for (const auto& [id, s] : servers) weights += ready(s) ? weight(s) : 0;
-    const double seen = cfg.slices > 0 ? static_cast<double>(mine) / cfg.slices : 1;
-    if (seen <= 0 || seen >= 1 || weights <= 0) return;
-    peers = 1 / seen;
-    for (const auto& [id, s] : servers) {
-      const double fair = all / seen * weight(s) / weights;
-      hidden[id] = s.changedAt > 0 ? heat[id] * (peers - 1) : std::max(0.0, fair - first[id]);
-    }
-  }
-
-  // Peers are taken to send a changed server as much again as this supervisor does.
-  double load(const ServerId& id, double more = 0) {
-    const Server& s = servers[id];
-    return (heat[id] + hidden[id] + more * (s.changedAt > 0 ? peers : 1)) / std::max(1e-9, usableWeight(s));
-  }
-
-  double meanLoad() {
-    double sum = 0, weights = 0;
-    for (const auto& [id, s] : servers) {
-      sum += heat[id] + hidden[id];
-      if (usable(s)) weights += usableWeight(s);
-    }
-    return weights > 0 ? sum / weights : 0;
-  }
-
-  void heard(const ServerReport& r) {
-    auto it = servers.find(r.server);
-    if (it == servers.end() || cfg.classes.empty()) return;
-    Server& s = it->second;
-    const Micros late = kReportsLag + r.window;
-    if (s.entry.startedAt > 0 && now - late < s.entry.startedAt) return;  // of its life before, or too near it
-    const double answers = static_cast<double>(std::max<std::int64_t>(0, r.tries - r.failed));
-    Met& met = s.met[r.zone];
-    s.allTries.add(now, static_cast<double>(r.tries), kDemandMemory);
-    met.tries.add(now, static_cast<double>(r.tries), kHealthMemory);
-    met.failed.add(now, static_cast<double>(std::min(r.failed, r.tries)), kHealthMemory);
-    if (r.latency > 0 && answers > 0) {
-      s.answers.add(now, answers, kHealthMemory);
-      s.latencySum.add(now, answers * static_cast<double>(r.latency), kHealthMemory);
-    }
-    s.reportedAt = now;
-    if (s.answers.at(now, kHealthMemory) >= kFewAnswers) {
-      while (!s.latencies.empty() && s.latencies.front().first < now - kLowestSpan) s.latencies.pop_front();
-      s.latencies.emplace_back(now, latency(s));
+    for (auto& [id, s] : servers) {
+      weights += s.ready() ? weight(s) : 0;
+      allWeight += s.usable() ? weight(s) : 0;
+      s.tally = tallyOf(s, {});
+      const double answers = s.answers.at(now, kHealthMemory);
+      s.latency = answers < 0.5 ? 0 : s.latencySum.at(now, kHealthMemory) / answers;
+      s.pressure = aims[id] > 0 ? s.latency / (aims[id] / requests[id] * kSecond) : 0;
     }
-  }
-
-  void asked(const SliceDemand& d) {
-    auto it = slices.find(d.slice);
-    if (it == slices.end() || !it->second.mine || d.cls < 0 || d.cls >= static_cast<int>(cfg.classes.size())) {
-      return;
+    const double seen = cfg.slices > 0 ? static_cast<double>(mine) / cfg.slices : 1;
+    peers = seen > 0 ? 1 / seen : 1;
+    allHeat = own;
+    for (auto& [id, s] : servers) {
+      if (weights <= 0 || peers <= 1) break;
+      const double fair = own * peers * weight(s) / weights;
+      s.hidden = s.changedAt > 0 ? s.heat * (peers - 1) : std::max(0.0, fair - first[id]);
+      allHeat += s.hidden;
     }
-    it->second.demand[d.cls].add(now, static_cast<double>(d.requests), kDemandMemory);
   }
 
-  // Zones whose proxies meet failure at most servers: the cause lies with the zone or is shared, not with a server.
+  // Zones whose proxies meet failure at most servers: the cause lies with the zone or is shared.
   std::set<int> blindZones() const {
     std::map<int, std::vector<double>> shares;
     for (const auto& [id, s] : servers) {
@@ -261,112 +223,36 @@
     return blind;
   }
 
-  struct Sum {
-    double tries = 0, failed = 0;
-  };
-  Sum met(const Server& s, const std::set<int>& blind = {}) const {
-    Sum sum;
-    for (const auto& [zone, met] : s.met) {
-      if (blind.count(zone) > 0) continue;
-      sum.tries += met.tries.at(now, kHealthMemory);
-      sum.failed += met.failed.at(now, kHealthMemory);
-    }
-    return sum;
-  }
-
-  // Heard latency as a share of the aims of what is asked of the server.
-  double pressure(const ServerId& id) {
-    double requests = 0, aims = 0;
-    for (const auto& [t, slice] : slices) {
-      if (!slice.mine || slice.home != id) continue;
-      aims += measuredHeat(slice);
-      for (std::size_t c = 0; c < slice.demand.size(); ++c) requests += rate(slice, c);
-    }
-    return requests > 0 && aims > 0 ? latency(servers[id]) / (aims / requests * kSecond) : 0;
-  }
-
-  // Guards against whatever makes a server useless while it is listed: quick errors, refused or silent connections.
-  // Judged by answers against tries where most others do well. A slow server that refuses is overloaded, not broken:
-  // moving its load elsewhere would only pass that on.
+  // Guards against whatever makes a server useless while it is listed: quick errors, refused or silent
+  // connections. Judged by answers against tries where most others do well. A slow server that refuses is
+  // overloaded, not broken: moving its load elsewhere would only pass that on.
   void judgeHealth() {
     const std::set<int> blind = blindZones();
-    Sum all;
+    Tally all;
     for (const auto& [id, s] : servers) {
-      const Sum own = met(s, blind);
+      const Tally own = tallyOf(s, blind);
       all.tries += own.tries;
       all.failed += own.failed;
     }
     for (auto& [id, s] : servers) {
-      if (s.failing) {
-        if (now >= s.failingUntil) {
-          s.failing = false;
-          s.met.clear();
-          s.changedAt = now;
-          log(text("try %s again%s", id, ""));
-        }
-        continue;
+      if (s.failing && now >= s.failingUntil) {
+        s.failing = false;
+        s.met.clear();
+        s.changedAt = now;
+        log("try " + id + " again");
       }
-      const Sum own = met(s, blind);
-      if (!ready(s) || own.tries < kFewTries || own.failed < kBadShare * own.tries) continue;
-      const double others = (all.failed - own.failed) / std::max(1.0, all.tries - own.tries);
-      if (own.failed < kWorseThanFleet * others * own.tries) continue;
-      const bool answersSlowly = own.tries - own.failed > 0.2 * own.tries && pressure(id) > kRelaxed;
-      if (answersSlowly) continue;
-      const double failed = own.failed, tries = own.tries;
+      const Tally own = tallyOf(s, blind);
+      if (!s.usable() || own.tries < kFewTries || own.badShare() < kBadShare) continue;
+      const Tally others{all.tries - own.tries, all.failed - own.failed};
+      if (own.badShare() < kWorseThanFleet * others.badShare()) continue;
+      if (own.badShare() < 1 - kStillAnswers && s.pressure > kRelaxed) continue;
       s.failing = true;
-      s.failingHold = s.failingHold == 0 ? kFailingHold : 2 * s.failingHold;
+      s.failingHold = std::max(kFailingHold, 2 * s.failingHold);
       s.failingUntil = now + s.failingHold;
-      log(text("%s fails%s: %.0f of %.0f tries", id, "", failed, tries));
+      log(id + " fails: " + std::to_string(std::lround(100 * own.badShare())) + " of 100 tries");
     }
   }
 
-  // ---- The server list ----
-
-  void listed(const ListNews& news) {
-    if (news.mode == ListMode::Failed) {
-      subscribed = false;
-      askBackoff = std::clamp<Micros>(askBackoff * 2, 500 * kMs, std::max<Micros>(cfg.askWithin / 4, kSecond));
-      askAgainAt = now + askBackoff;
-      return;
-    }
-    if (news.mode == ListMode::Full) {
-      for (auto& [id, s] : servers) s.listed = false;
-    }
-    for (const ServerEntry& e : news.entries) {
-      Server& s = servers[e.server];
-      const bool known = s.listed || s.entry.startedAt > 0;
-      const bool restarted = known && e.startedAt > s.entry.startedAt;
-      s.listed = e.state != ServerState::Gone;
-      const ServerEntry before = s.entry;
-      s.entry = e;
-      if (e.startedAt < before.startedAt) s.entry.startedAt = before.startedAt;
-      if (e.state == ServerState::Ready && (restarted || (news.mode != ListMode::Cached && startedWithin(s, cfg.warmAfter)))) {
-        if (e.startedAt > before.startedAt) started(e.server, s);
-      }
-    }
-    if (news.mode != ListMode::Cached) {
-      listFresh = true;
-      askBackoff = 0;
-    }
-  }
-
-  // A server that starts is empty of keys and cold, whatever its slices say: forget its former life.
-  void started(const ServerId& id, Server& s) {
-    const ServerEntry entry = s.entry;
-    s = Server{};
-    s.entry = entry;
-    s.listed = true;
-    s.changedAt = now;
-    s.movedAt = now;
-    (void)id;
-  }
-
-  void followList() {
-    if (!cfg.listOnRequest || subscribed || now < askAgainAt) return;
-    out.push_back(WatchList{true});
-    subscribed = true;
-  }
-
   // ---- Placement and evacuation ----
 
   // The coolest by projected heat per unit of usable weight. Near ties are broken by the seed, so that two
@@ -374,177 +260,171 @@
   template <class Allowed>
   ServerId coolest(double h, Allowed allowed) {
     double best = -1;
-    for (const auto& [id, s] : servers) {
-      if (allowed(id, s) && (best < 0 || load(id, h) < best)) best = load(id, h);
+    for (const ServerRef& s : servers) {
+      if (allowed(s) && (best < 0 || load(s.second, h) < best)) best = load(s.second, h);
     }
     std::vector<ServerId> near;
-    for (const auto& [id, s] : servers) {
-      if (allowed(id, s) && load(id, h) <= best * kNearlyCoolest) near.push_back(id);
+    for (const ServerRef& s : servers) {
+      if (allowed(s) && load(s.second, h) <= best * kNearlyCoolest) near.push_back(s.first);
     }
     return near.empty() ? ServerId() : near[rng.next() % near.size()];
   }
 
-  void move(TableId table, Slice& s, const ServerId& to, const char* reason) {
+  void move(TableId table, Slice& s, const ServerId& to, const std::string& reason) {
+    log("slice " + std::to_string(table) + " to " + to + " from " + s.home + ": " + reason);
     const double h = heatOf(s);
-    log(text("slice %s to ", std::to_string(table), "") + to + text(" from %s: %s", s.home, reason));
-    const auto old = s.want.find(s.home);
-    const double w = old == s.want.end() ? 1 : old->second;
-    if (old != s.want.end()) s.want.erase(old);
-    heat[s.home] -= h;
-    heat[to] += h;
-    if (servers[to].changedAt > 0) hidden[to] += h * (peers - 1);
+    const double w = s.want.count(s.home) > 0 ? s.want[s.home] : 1;
+    s.want.erase(s.home);
+    servers[s.home].heat -= h;
     s.want[to] = w;
+    Server& target = servers[to];
+    target.heat += h;
+    if (target.changedAt > 0) target.hidden += h * (peers - 1);
     s.home = to;
     s.movedAt = now;
   }
 
-  // Design item 2: unhomed slices, then those on servers that are draining, gone, failing or just started.
+  // Why a slice must leave its home now, or nothing. An old list may not know a new server yet.
+  const char* whyLeave(const Slice& s) const {
+    const auto it = servers.find(s.home);
+    if (s.home.empty()) return "unhomed";
+    if (it == servers.end() || !it->second.listed) return listFresh ? "gone" : nullptr;
+    if (it->second.entry.state == ServerState::Draining) return "draining";
+    if (it->second.failing) return "failing";
+    return isCold(it->second) && s.movedAt < it->second.entry.startedAt ? "restarted" : nullptr;
+  }
+
+  // Design item 2: unhomed slices, then those on servers that are draining, gone, failing or just restarted,
+  // the hottest first, each to the coolest server as the moves before it leave things.
   void evacuate() {
-    std::vector<std::pair<double, TableId>> order;
-    for (auto& [id, s] : slices) {
-      if (s.mine && mustLeave(s)) order.emplace_back(s.home.empty() ? -1e18 : -heatOf(s), id);
+    std::vector<std::tuple<bool, double, TableId>> order;
+    for (const auto& [t, s] : slices) {
+      if (whyLeave(s) != nullptr) order.emplace_back(!s.home.empty(), -heatOf(s), t);
     }
     std::sort(order.begin(), order.end());
-    for (const auto& [key, id] : order) {
-      Slice& s = slices[id];
+    for (const auto& entry : order) {
+      const TableId t = std::get<2>(entry);
+      Slice& s = slices[t];
       const double h = heatOf(s);
-      ServerId to = coolest(h, [&](const ServerId& t, const Server& v) {
-        return t != s.home && usable(v) && !startedWithin(v, 2 * kSecond);
+      ServerId to = coolest(h, [&](const ServerRef& v) {
+        return v.first != s.home && v.second.usable() && !startedWithin(v.second, kTargetAge);
       });
-      if (to.empty()) {
-        to = coolest(h, [&](const ServerId& t, const Server& v) { return t != s.home && ready(v); });
-      }
+      if (to.empty())
+        to = coolest(h, [&](const ServerRef& v) { return v.first != s.home && v.second.ready(); });
       if (to.empty()) continue;
-      const bool none = s.home.empty();
-      move(id, s, to, none ? "unhomed" : whyLeave(servers[s.home]));
+      move(t, s, to, whyLeave(s));
       urgent = true;
     }
   }
 
-  const char* whyLeave(const Server& v) const {
-    if (!v.listed) return "gone";
-    if (v.entry.state == ServerState::Draining) return "draining";
-    return v.failing ? "failing" : "restarted";
-  }
-
-  bool mustLeave(const Slice& s) const {
-    if (s.home.empty()) return true;
-    const auto it = servers.find(s.home);
-    if (it == servers.end() || !it->second.listed) return listFresh;  // an old list may not know it yet
-    if (!usable(it->second)) return true;
-    return s.movedAt < it->second.entry.startedAt && startedWithin(it->second, cfg.warmAfter);
-  }
-
-  // Departure: the design leaves a returned server idle until another is hot. A server that changed and stands
+  // Departure: the design leaves a returned server idle until another is hot. One that changed and stands
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
   void refill() {
     const double mean = meanLoad();
     for (auto& [id, r] : servers) {
-      if (r.changedAt == 0 || !usable(r) || now - r.gaveAt < kRefillEvery || startedWithin(r, 5 * kSecond)) continue;
-      if (load(id) >= kRefillBelow * mean) continue;
-      const double room = mean * usableWeight(r) - heat[id] - hidden[id];
-      ServerId donor;
-      for (const auto& [d, s] : servers) {
-        if (d == id || !usable(s) || now < s.nextMoveAt || load(d) <= mean) continue;
-        if (donor.empty() || load(d) > load(donor)) donor = d;
+      if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery || startedWithin(r, kRefillAge))
+        continue;
+      if (load(r) >= kRefillBelow * mean) continue;
+      ServerRef* donor = nullptr;
+      for (ServerRef& d : servers) {
+        if (d.first == id || !d.second.usable() || now < d.second.nextMoveAt || load(d.second) <= mean)
+          continue;
+        if (donor == nullptr || load(d.second) > load(donor->second)) donor = &d;
       }
-      if (donor.empty()) continue;
-      for (TableId t : byHalfOfHottest(donor)) {
-        if (heatOf(slices[t]) > room) continue;
+      if (donor == nullptr) continue;
+      for (TableId t : byHalfOfHottest(donor->first)) {
+        if (load(r, heatOf(slices[t])) > mean) continue;
         move(t, slices[t], id, "refill");
         r.gaveAt = now;
-        servers[donor].nextMoveAt = now + kRefillEvery;
+        donor->second.nextMoveAt = now + kRefillEvery;
         break;
       }
     }
   }
 
-  // Departure: each slice keeps a standby line of very small weight, so that a proxy has where to go at once when
-  // the home is down, refuses or is out of its reach. Acts from the start; not where a slice may have one owner only.
+  // Departure: each slice keeps a standby line of very small weight, so that a proxy has where to go at once
+  // when the home is down, refuses or is out of its reach: in another zone if there is one, and the standbys
+  // of one home spread over many servers. Acts from the start, except where a slice may have one owner only.
   void standBy() {
-    if (cfg.oneOwner) return;
     std::map<std::pair<ServerId, ServerId>, int> pairs;
-    std::map<ServerId, double> load2;
+    std::map<ServerId, double> backed;
     std::vector<TableId> lacking;
-    for (auto& [id, s] : slices) {
-      if (!s.mine || s.home.empty()) continue;
+    for (auto& [t, s] : slices) {
+      if (s.home.empty() || cfg.oneOwner) continue;
       bool has = false;
       for (auto line = s.want.begin(); line != s.want.end();) {
-        if (line->first == s.home) {
-          ++line;
-          continue;
-        }
         const auto v = servers.find(line->first);
-        const bool good = v != servers.end() && usable(v->second) && !startedWithin(v->second, cfg.warmAfter);
-        if (!good && (v != servers.end() || listFresh)) {
-          if (v == servers.end() || !ready(v->second)) urgent = true;
+        const bool known = v != servers.end() && (v->second.listed || listFresh);
+        if (line->first == s.home || (!known && !listFresh)) {
+          ++line;
+        } else if (known && v->second.usable() && !isCold(v->second)) {
+          has = true;
+          ++pairs[{s.home, line->first}];
+          backed[line->first] += heatOf(s);
+          ++line;
+        } else {
+          urgent = urgent || !known || !v->second.ready();
           line = s.want.erase(line);
-          continue;
         }
-        has = true;
-        ++pairs[{s.home, line->first}];
-        load2[line->first] += heatOf(s);
-        ++line;
       }
-      if (!has) lacking.push_back(id);
-    }
-    for (TableId id : lacking) {
-      Slice& s = slices[id];
-      const int zone = servers.count(s.home) > 0 ? servers[s.home].entry.zone : -1;
-      ServerId best;
-      double bestCost = 0;
-      for (const auto& [t, v] : servers) {
-        if (t == s.home || !usable(v) || isCold(v)) continue;
-        const double cost = pairs[{s.home, t}] * 10 + (v.entry.zone == zone ? 100 : 0) +
-                            load2[t] / weight(v) / (meanLoad() + 1e-9) + rng.uniform() * 0.01;
-        if (best.empty() || cost < bestCost) {
-          best = t;
-          bestCost = cost;
+      if (!has) lacking.push_back(t);
+    }
+    const double mean = meanLoad() + 1e-9;
+    for (TableId t : lacking) {
+      Slice& s = slices[t];
+      std::tuple<int, bool, double> best;
+      ServerId standby;
+      for (const auto& [id, v] : servers) {
+        if (id == s.home || !v.usable() || isCold(v)) continue;
+        const double even = backed[id] / weight(v) / mean + 0.01 * rng.uniform();
+        const auto cost =
+            std::make_tuple(pairs[{s.home, id}], v.entry.zone == servers[s.home].entry.zone, even);
+        if (standby.empty() || cost < best) {
+          best = cost;
+          standby = id;
         }
       }
-      if (best.empty()) continue;
-      s.want[best] = s.want[s.home] * kStandbyShare;
-      ++pairs[{s.home, best}];
-      load2[best] += heatOf(s);
+      if (standby.empty()) continue;
+      s.want[standby] = s.want[s.home] * kStandbyShare;
+      ++pairs[{s.home, standby}];
+      backed[standby] += heatOf(s);
     }
   }
 
   // ---- The hot rule ----
 
-  void judgeHot() {
-    double all = 0, weights = 0;
-    for (const auto& [id, s] : servers) {
-      all += heat[id] + hidden[id];
-      if (usable(s)) weights += weight(s);
-    }
-    for (auto& [id, s] : servers) {
-      if (s.reportedAt <= s.hotJudgedAt || now - s.hotJudgedAt < cfg.reportEvery) continue;
-      s.hotJudgedAt = now;
-      const Micros settled = s.movedAt + cfg.orderDelay + cfg.reportEvery + kReportsLag;
-      const bool hot = now >= settled && weights > 0 && latency(s) > kHotLatency * lowestLatency(s) &&
-                       lowestLatency(s) > 0 && heat[id] + hidden[id] > all * weight(s) / weights;
-      s.hotRuns = hot ? s.hotRuns + 1 : 0;
-    }
-  }
-
-  // Departure: weights are not listed, or roughly. A server that is pressed at its fair heat while most are not is
-  // weaker than listed, whatever the cause; it then counts for less until it is at ease for long. Holds against slow
-  // machines, neighbours and costly keys alike; could harm where a short trouble makes many look weak in turn.
+  // Departure: weights are not listed, or roughly. A server that is pressed at fair heat while most are not
+  // is weaker than listed, whatever the cause; it then counts for less until it is at ease for long. Holds
+  // against slow machines, neighbours and costly keys alike; could harm where a short trouble makes many look
+  // weak in turn.
   void judgeStrength() {
     std::vector<double> pressures;
     for (const auto& [id, s] : servers) {
-      if (usable(s)) pressures.push_back(pressure(id));
+      if (s.usable()) pressures.push_back(s.pressure);
     }
     std::sort(pressures.begin(), pressures.end());
     if (pressures.empty() || pressures[pressures.size() / 2] > kRelaxed) return;
+    const double mean = meanLoad();
     for (auto& [id, s] : servers) {
-      const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
-      if (!usable(s) || isCold(s) || now - s.strengthAt < settle || now - s.movedAt < settle) continue;
-      const double p = pressure(id);
-      if (p > kOverloaded && load(id) > meanLoad() * 0.7) s.strength = std::max(kStrengthLeast, s.strength * kWeaker);
-      else if (p < kRelaxed) s.strength = std::min(1.0, s.strength + kStronger);
-      else continue;
-      s.strengthAt = now;
+      if (!s.usable() || isCold(s) || now < std::max(s.strengthAt, s.movedAt) + settle()) continue;
+      const double before = s.strength;
+      if (s.pressure > kOverloaded && load(s) > kFairLoad * mean) s.strength *= kWeaker;
+      if (s.pressure < kRelaxed) s.strength += kStronger;
+      s.strength = std::clamp(s.strength, kStrengthLeast, 1.0);
+      if (s.strength != before) s.strengthAt = now;
+    }
+  }
+
+  // Design item 3: hot after some reports running that pass both tests, heard since the last move off the
+  // server.
+  void judgeHot() {
+    for (auto& [id, s] : servers) {
+      if (s.reportedAt <= s.hotJudgedAt || now - s.hotJudgedAt < cfg.reportEvery) continue;
+      s.hotJudgedAt = now;
+      const double low = s.lowestLatency();
+      const bool slow = low > 0 && s.latency > kHotLatency * low;
+      const bool heavy = allWeight > 0 && s.heat + s.hidden > allHeat * weight(s) / allWeight;
+      s.hotRuns = slow && heavy && now >= s.movedAt + settle() ? s.hotRuns + 1 : 0;
     }
   }
 
@@ -552,19 +432,17 @@
 
   // Design items 5 and 6: at half the heat of the hottest or nearest above it, then nearest below, then the
   // hottest, then cold ones.
-  std::vector<TableId> byHalfOfHottest(const ServerId& id) {
+  std::vector<TableId> byHalfOfHottest(const ServerId& id) const {
     double hottest = 0;
     for (const auto& [t, s] : slices) {
-      if (s.mine && s.home == id) hottest = std::max(hottest, heatOf(s));
+      if (s.home == id) hottest = std::max(hottest, heatOf(s));
     }
     std::vector<std::tuple<int, double, TableId>> order;
     for (const auto& [t, s] : slices) {
-      if (!s.mine || s.home != id) continue;
+      if (s.home != id) continue;
       const double h = heatOf(s);
-      if (h <= 0) order.emplace_back(3, 0, t);
-      else if (h >= hottest) order.emplace_back(2, 0, t);
-      else if (h >= hottest / 2) order.emplace_back(0, h, t);
-      else order.emplace_back(1, -h, t);
+      const int rank = h <= 0 ? 3 : h >= hottest ? 2 : h >= hottest / 2 ? 0 : 1;
+      order.emplace_back(rank, rank == 0 ? h : -h, t);
     }
     std::sort(order.begin(), order.end());
     std::vector<TableId> tables;
@@ -572,25 +450,22 @@
     return tables;
   }
 
+  // Design items 4 and 7 to 9: a hot server loses one slice to a cool one under the mean, then waits.
   void coolHot() {
-    int open = 0, hot = 0;
-    double all = 0, weights = 0;
+    std::size_t open = 0, hot = 0;
     for (const auto& [id, s] : servers) {
-      all += heat[id] + hidden[id];
-      if (!usable(s)) continue;
-      ++open;
-      hot += isHot(s);
-      weights += weight(s);
+      open += s.usable();
+      hot += s.usable() && isHot(s);
     }
-    if (hot == 0 || hot == open) return;  // item 4
+    if (hot == 0 || hot == open) return;
     const double mean = meanLoad();
     for (auto& [id, s] : servers) {
-      if (!usable(s) || !isHot(s) || now < s.nextMoveAt) continue;
+      if (!s.usable() || !isHot(s) || now < s.nextMoveAt) continue;
       for (TableId t : byHalfOfHottest(id)) {
         const double h = heatOf(slices[t]);
-        const ServerId to = coolest(h, [&](const ServerId& c, const Server& v) {
-          return c != id && usable(v) && !isHot(v) && !startedWithin(v, kSettledStart) && load(c) < mean &&
-                 h <= all * weight(v) / weights;
+        const ServerId to = coolest(h, [&, &from = id](const ServerRef& c) {
+          return c.first != from && c.second.usable() && !isHot(c.second) && load(c.second) < mean &&
+                 !startedWithin(c.second, kSettledStart) && h <= allHeat * weight(c.second) / allWeight;
         });
         if (to.empty()) continue;
         move(t, slices[t], to, "hot");
@@ -604,185 +479,264 @@
 
   // ---- Admission and retries ----
 
-  // A further try never goes beyond what cannot take effect twice.
-  SecondTry secondTry(const RequestClass& c) const {
-    if (c.effect == Effect::Repeatable && !limited) return SecondTry::AfterAnyFailure;
-    return SecondTry::AfterProof;
-  }
-
-  // Each server's allowance is heat per unit of usable weight. It is learned: a pressed server's is set a step under
-  // what it now lets in, and raised in steps while it is relaxed until it binds no more. Being a density it also
-  // says at once, before any report, what a server may take that has just got slices or has just started.
+  // Each server's allowance is heat per unit of listed weight. It is learned: a pressed server's is set a
+  // step under what it now gets, and raised in growing steps while it is relaxed until it binds no more.
+  // Being a density it also says at once, before any report, what a server may take that has just got slices.
+  // While pressure is high a passing cut lets the queue drain. A cold server is held to what warm ones bear,
+  // by its ramp, whoever sends the load.
   void admit() {
-    std::vector<double> allowances;
-    Sum all;
-    std::size_t open = 0;
+    std::size_t open = 0, bound = 0;
     double taken = 0, weights = 0;
+    Tally all;
     for (auto& [id, s] : servers) {
-      if (!usable(s) || isCold(s)) continue;
-      const double density = (heat[id] + hidden[id]) * s.strength / usableWeight(s);
-      const double pressed = pressure(id);
-      const Sum own = met(s);
-      all.tries += own.tries;
-      all.failed += own.failed;
-      ++open;
-      const double bad = own.tries > 0 ? own.failed / own.tries : 0;
-      const Micros settle = cfg.orderDelay + cfg.reportEvery + kReportsLag;
-      if ((pressed > kOverloaded || (bad > 0.2 && pressed > kRelaxed)) && now - s.allowedAt > settle) {
-        s.allowance = (s.allowance > 0 ? std::min(s.allowance, density) : density) * (1 - kStepDown);
-        s.rises = 0;
-        s.allowedAt = now;
-      } else if (pressed < kRelaxed && bad < 0.1 && s.allowance > 0 && now - s.allowedAt > settle) {
-        s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStepLeast * ++s.rises);
-        s.allowedAt = now;
+      if (!s.usable() || isCold(s)) continue;
+      const double density = (s.heat + s.hidden) / listedWeight(s);
+      const double bad = s.tally.badShare();
+      if (now - s.allowedAt > settle()) {
+        if (s.pressure > kOverloaded || (bad > kRefusing && s.pressure > kRelaxed)) {
+          s.allowance = (s.allowance > 0 ? std::min(s.allowance, density) : density) * (1 - kStep);
+          s.rises = 0;
+          s.allowedAt = now;
+        } else if (s.pressure < kRelaxed && bad < kRefusing / 2 && s.allowance > 0) {
+          s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStep * ++s.rises);
+          s.allowedAt = now;
+        }
       }
-      if (s.allowance > 0) allowances.push_back(s.allowance);
-      taken += s.admitted * (heat[id] + hidden[id]);
-      weights += usableWeight(s) / s.strength;
+      ++open;
+      bound += s.allowance > 0;
+      all.tries += s.tally.tries;
+      all.failed += s.tally.failed;
+      taken += s.admitted * (s.heat + s.hidden);
+      weights += listedWeight(s);
     }
-    std::sort(allowances.begin(), allowances.end());
     if (weights > 0) usual = taken / weights;
-    limited = 3 * allowances.size() > open || all.failed > kStrainedBadShare * all.tries;
+    strained = 3 * bound > open || all.badShare() > kStrainedBadShare;
     for (auto& [id, s] : servers) {
-      const double density = (heat[id] + hidden[id]) * s.strength / usableWeight(s);
-      // Guards the cold against all loads, whoever sends them: what the warm bear, by usable weight, and no more.
-      const double haste = std::clamp(1 - kHaste * (pressure(id) - kOverloaded), kHasteLeast, 1.0);
+      const double density = (s.heat + s.hidden) / (listedWeight(s) * ramp(s));
+      const double haste = std::clamp(1 - kHaste * (s.pressure - kOverloaded), kHasteLeast, 1.0);
       const double allowed = isCold(s) ? usual : s.allowance * haste;
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
     }
     setLevels();
   }
 
-  // What is not let in is taken from the classes of least worth per work first.
+  // What is not let in is taken from the classes of least worth per work first, in few steps.
   void setLevels() {
     const std::size_t n = cfg.classes.size();
     std::vector<double> demand(n, 0);
     double all = 0;
     for (const auto& [t, s] : slices) {
-      for (std::size_t c = 0; c < s.demand.size(); ++c) {
-        demand[c] += rate(s, c) * work(static_cast<int>(c));
-        all += rate(s, c) * work(static_cast<int>(c));
-      }
+      for (std::size_t c = 0; c < n; ++c) demand[c] += rate(s, c) * work(c);
+      all += measuredHeat(s);
     }
     std::vector<std::size_t> order(n);
     for (std::size_t c = 0; c < n; ++c) order[c] = c;
     std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-      return cfg.classes[a].worth / work(static_cast<int>(a)) < cfg.classes[b].worth / work(static_cast<int>(b));
+      return cfg.classes[a].worth / work(a) < cfg.classes[b].worth / work(b);
     });
     for (auto& [t, s] : slices) {
-      if (!s.mine) continue;
-      const auto home = servers.find(s.home);
-      double cut = home == servers.end() ? 0 : (1 - home->second.admitted) * all;
+      double cut = (1 - servers[s.home].admitted) * all;
       s.levels.assign(n, 1);
       for (std::size_t c : order) {
         if (cut <= 0 || demand[c] <= 0) continue;
         const double take = std::min(cut, (1 - kClassLeast) * demand[c]);
-        const double level = std::round((1 - take / demand[c]) * 20) / 20;
-        if (std::abs(level - s.sentLevels[c]) < kLevelStep && level < 1) s.levels[c] = s.sentLevels[c];
-        else s.levels[c] = level;
+        const double level = std::round((1 - take / demand[c]) / kLevelGrain) * kLevelGrain;
+        s.levels[c] = level < 1 && std::abs(level - s.sentLevels[c]) < kLevelStep ? s.sentLevels[c] : level;
         cut -= take;
       }
     }
   }
 
+  // A further try never goes beyond what cannot take effect twice, and under strain it only adds to the load.
+  SecondTry secondTry(const RequestClass& c) const {
+    return c.effect == Effect::Repeatable && !strained ? SecondTry::AfterAnyFailure : SecondTry::AfterProof;
+  }
+
   // ---- Pacing ----
 
   void log(const std::string& line) { out.push_back(Log{line}); }
 
   double linesQueued() const {
-    return std::max(0.0, queued - static_cast<double>(now - queuedAt) / kSecond * cfg.linesPerSecond / 2);
+    return std::max(0.0, queued - seconds(now - queuedAt) * cfg.linesPerSecond / kSlowChannel);
   }
 
-  bool mayWrite(double lines) {
-    if (proxies.empty()) return true;
-    const double cost = static_cast<double>(proxies.size()) * (cfg.linesPerMessage + lines);
-    if (linesQueued() + cost > cfg.linesWaitingMax * kQueueShare && linesQueued() > 0) return false;
+  bool mayWrite(double cost) {
+    if (linesQueued() > 0 && linesQueued() + cost > cfg.linesWaitingMax * kQueueShare) return false;
     while (!messages.empty() && messages.front() <= now - cfg.messagesSpan) messages.pop_front();
-    const int sent = static_cast<int>(messages.size());
-    if (cfg.messagesPerProxyMax > 0) {
-      const double most = urgent ? cfg.messagesPerProxyMax - kUrgentReserve : kRoutineShare * cfg.messagesPerProxyMax;
-      if (sent >= most) return false;
-    }
+    const double most =
+        urgent ? cfg.messagesPerProxyMax - kUrgentReserve : kRoutineShare * cfg.messagesPerProxyMax;
+    if (cfg.messagesPerProxyMax > 0 && static_cast<double>(messages.size()) >= most) return false;
     return urgent || now - routineAt >= kRoutineEvery;
   }
 
-  // Sends what differs between the tables as decided and as sent: changed lines only, gathered into one message.
-  void flush() {
+  // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
+  // owner's waits until every proxy has confirmed (or has lost its lease) and the writes in hand are done.
+  std::vector<Action> handOver(TableId t, Slice& s) {
+    if (s.sent.empty())
+      return now >= s.freeAt && s.unsettled.empty() ? s.changedLines(t) : std::vector<Action>{};
+    if (s.sent == s.want) return {};
+    return {SetLine{t, s.sent.begin()->first, 0}};
+  }
+
+  // Without slices proxies keep their standing tables; servers that must not be sent to are withdrawn from
+  // them.
+  std::vector<Action> withdrawals() {
     std::vector<Action> orders;
-    if (!rulesSent || limited != limitedSent) {
+    for (const auto& [id, s] : servers) {
+      const bool stay = s.withdrawn && startedWithin(s, kSettledStart);
+      const bool wanted = allWeight > 0 && listFresh && (!s.usable() || stay);
+      if (cfg.slices == 0 && wanted != s.withdrawn) orders.push_back(Withdraw{id, wanted});
+    }
+    return orders;
+  }
+
+  // Sends what differs between the tables as decided and as sent, gathered into one message for each proxy.
+  void flush() {
+    std::vector<Action> orders = withdrawals();
+    if (!rulesSent || strained != strainedSent) {
       std::map<SecondTry, unsigned> masks;
       for (std::size_t c = 0; c < cfg.classes.size(); ++c) masks[secondTry(cfg.classes[c])] |= 1u << c;
       for (const auto& [how, mask] : masks) orders.push_back(Admit{kAllTables, mask, 1, how});
     }
-    for (auto& [id, s] : slices) {
-      if (!s.mine) continue;
-      for (const auto& [server, w] : s.want) {
-        const auto was = s.sent.find(server);
-        if (was == s.sent.end() || was->second != w) orders.push_back(SetLine{id, server, w});
-      }
-      for (const auto& [server, w] : s.sent) {
-        if (s.want.count(server) == 0) orders.push_back(SetLine{id, server, 0});
-      }
+    for (auto& [t, s] : slices) {
+      const std::vector<Action> lines = cfg.oneOwner ? handOver(t, s) : s.changedLines(t);
+      orders.insert(orders.end(), lines.begin(), lines.end());
       for (std::size_t c = 0; c < s.levels.size() && cfg.levelUnit == LevelUnit::Share; ++c) {
-        if (s.levels[c] != s.sentLevels[c]) {
-          orders.push_back(Admit{id, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
-        }
+        if (s.levels[c] == s.sentLevels[c]) continue;
+        orders.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
       }
     }
-    if (orders.empty() || proxies.empty() || !mayWrite(static_cast<double>(orders.size()))) return;
-    for (auto& [id, s] : slices) {
-      if (!s.mine) continue;
-      s.sent = s.want;
-      s.sentLevels = s.levels;
+    const double cost =
+        static_cast<double>(proxies.size()) * (cfg.linesPerMessage + static_cast<double>(orders.size()));
+    if (orders.empty() || proxies.empty() || !mayWrite(cost)) return;
+    if (cfg.oneOwner) orders.push_back(Mark{lastMark = (lastMark + 1) % 65536, true});
+    for (const Action& order : orders) {
+      if (const auto* line = std::get_if<SetLine>(&order)) sent(*line);
+      if (const auto* pull = std::get_if<Withdraw>(&order)) servers[pull->server].withdrawn = pull->out;
     }
+    for (auto& [t, s] : slices) s.sentLevels = s.levels;
     rulesSent = true;
-    limitedSent = limited;
-    queued = linesQueued() + static_cast<double>(proxies.size()) *
-                                 (cfg.linesPerMessage + static_cast<double>(orders.size()));
-    queuedAt = now;
+    strainedSent = strained;
+    queued = linesQueued() + cost;
+    queuedAt = routineAt = now;
     messages.push_back(now);
-    routineAt = now;
     urgent = false;
     out.insert(out.end(), orders.begin(), orders.end());
   }
 
+  void sent(const SetLine& line) {
+    Slice& s = slices[line.table];
+    if (line.weight > 0) {
+      s.sent[line.server] = line.weight;
+    } else {
+      s.sent.erase(line.server);
+      if (cfg.oneOwner) s.unsettled = proxies;
+      s.clearedBy = lastMark;
+    }
+  }
+
   // ---- Events ----
 
-  void on(const ListNews& e) { listed(e); }
-  void on(const TimerFired&) {}
-  void on(const ProbeResult&) {}
-  void on(const PeerNote&) {}
+  // A server that starts is empty of keys and cold, whatever its slices say: its former life is forgotten.
+  void on(const ListNews& news) {
+    if (news.mode == ListMode::Failed) {
+      subscribed = false;
+      askBackoff = std::min(2 * askBackoff, std::max(kAskFirst, cfg.askWithin / 4));
+      askAgainAt = now + askBackoff;
+      return;
+    }
+    if (news.mode == ListMode::Full) {
+      for (auto& [id, s] : servers) s.listed = false;
+    }
+    for (const ServerEntry& e : news.entries) {
+      Server& s = servers[e.server];
+      const Micros before = s.entry.startedAt;
+      if (news.mode != ListMode::Cached && e.startedAt > before && e.state == ServerState::Ready) {
+        s = Server{};
+        s.changedAt = s.movedAt = now;
+      }
+      s.entry = e;
+      s.entry.startedAt = std::max(before, e.startedAt);
+      s.listed = e.state != ServerState::Gone;
+    }
+    if (news.mode == ListMode::Cached) return;
+    listFresh = true;
+    askBackoff = kAskFirst;
+  }
+
   void on(const ProxyJoined& e) {
-    proxies[e.proxy] = Proxy{e.zone, now};
-    rulesSent = false;
+    proxies.insert(e.proxy);
+    rulesSent = false;  // standing orders ride on later messages only
+    for (auto& [id, s] : servers) s.withdrawn = s.withdrawn && cfg.slices > 0;
+  }
+
+  void on(const ProxyLeft& e) {
+    proxies.erase(e.proxy);
+    for (auto& [t, s] : slices) {
+      if (s.unsettled.erase(e.proxy) > 0) s.freeAt = std::max(s.freeAt, now + cfg.lease + cfg.writeSettle);
+    }
   }
-  void on(const ProxyLeft& e) { proxies.erase(e.proxy); }
-  void on(const ServerReport& e) { heard(e); }
-  void on(const ProxyDemand&) {}
-  void on(const SliceDemand& e) { asked(e); }
+
+  void on(const OrderApplied& e) {
+    for (auto& [t, s] : slices) {
+      if (e.mark < s.clearedBy || s.unsettled.erase(e.proxy) == 0) continue;
+      s.freeAt = std::max(s.freeAt, now + cfg.writeSettle);
+    }
+  }
+
+  void on(const ServerReport& r) {
+    const auto it = servers.find(r.server);
+    if (it == servers.end()) return;
+    Server& s = it->second;
+    if (startedWithin(s, kReportsLag + r.window)) return;  // of its former life, or too near it
+    const double tries = static_cast<double>(r.tries);
+    const double failed = static_cast<double>(std::min(r.failed, r.tries));
+    s.allTries.add(now, tries, kDemandMemory);
+    s.met[r.zone].tries.add(now, tries, kHealthMemory);
+    s.met[r.zone].failed.add(now, failed, kHealthMemory);
+    s.reportedAt = now;
+    if (r.latency <= 0 || tries <= failed) return;
+    s.answers.add(now, tries - failed, kHealthMemory);
+    s.latencySum.add(now, (tries - failed) * static_cast<double>(r.latency), kHealthMemory);
+    const double answers = s.answers.at(now, kHealthMemory);
+    while (!s.latencies.empty() && s.latencies.front().first < now - kLowestSpan) s.latencies.pop_front();
+    if (answers >= kFewAnswers) s.latencies.emplace_back(now, s.latencySum.at(now, kHealthMemory) / answers);
+  }
+
+  void on(const SliceDemand& d) {
+    const auto it = slices.find(d.slice);
+    if (it == slices.end() || d.cls < 0 || d.cls >= static_cast<int>(cfg.classes.size())) return;
+    it->second.demand[d.cls].add(now, static_cast<double>(d.requests), kDemandMemory);
+  }
+
   void on(const SliceCharge& e) {
-    Slice fresh;
-    fresh.mine = e.given;
-    fresh.givenAt = now;
-    fresh.movedAt = now;
-    fresh.demand.resize(cfg.classes.size());
-    fresh.levels.assign(cfg.classes.size(), 1);
-    fresh.sentLevels = fresh.levels;
-    slices[e.slice] = std::move(fresh);
+    slices.erase(e.slice);
+    if (!e.given) return;
+    Slice& s = slices[e.slice];
+    s.givenAt = s.movedAt = now;
+    s.demand.resize(cfg.classes.size());
+    s.levels.assign(cfg.classes.size(), 1);
+    s.sentLevels = s.levels;
   }
+
+  // The store's tables are taken as they are.
   void on(const StoredLine& e) {
     const auto it = slices.find(e.slice);
-    if (it == slices.end() || !it->second.mine || e.weight <= 0) return;
+    if (it == slices.end() || e.weight <= 0) return;
     Slice& s = it->second;
     s.sent[e.server] = s.want[e.server] = e.weight;
     if (s.home.empty() || e.weight > s.want[s.home]) s.home = s.firstHome = e.server;
   }
-  void on(const OrderApplied&) {}
+
+  template <class Other>
+  void on(const Other&) {}  // nothing is decided by probes, notes and the demand of single proxies
 
   void decide() {
-    followList();
-    countRepeats();
-    sumHeat();
+    if (cfg.listOnRequest && !subscribed && now >= askAgainAt) {
+      out.push_back(WatchList{true});
+      subscribed = true;
+    }
+    reckon();
     judgeHealth();
     evacuate();
     judgeStrength();
@@ -805,16 +759,15 @@
   State& st = *state_;
   st.now = now;
   st.out.clear();
-  bool due = !st.booted;
+  bool due = false, sweep = !st.booted;
+  st.booted = true;
   for (const Event& event : events) {
     std::visit([&](const auto& e) { st.on(e); }, event);
+    sweep = sweep || std::holds_alternative<TimerFired>(event);
     due = due || !(std::holds_alternative<ServerReport>(event) || std::holds_alternative<SliceDemand>(event));
-    if (std::holds_alternative<TimerFired>(event)) st.out.push_back(SetTimer{kSweepEvery, "sweep"});
   }
-  if (!st.booted) st.out.push_back(SetTimer{kSweepEvery, "sweep"});
-  if (!st.booted) st.startedAt = now;
-  st.booted = true;
-  if (due) st.decide();
+  if (sweep) st.out.push_back(SetTimer{kSweepEvery, "sweep"});
+  if (due || sweep) st.decide();
   return std::move(st.out);
 }
 
--- a/src/state.h
+++ b/src/state.h
@@ -1,10 +1,12 @@
 // What a Director remembers: plain records and counters without any decision or tuned value.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -28,7 +30,7 @@
   std::uint64_t state_;
 };
 
-// A sum that fades with time.
+// A sum that fades with time: what was added `memory` ago counts 1/e.
 class Fading {
  public:
   void add(Micros now, double amount, Micros memory) {
@@ -45,52 +47,81 @@
   Micros updated_ = 0;
 };
 
-// What the proxies of one zone met at one server lately.
-struct Met {
-  Fading tries;
-  Fading failed;
+struct Tally {
+  double tries = 0, failed = 0;
+  double badShare() const { return tries > 0 ? failed / tries : 0; }
+};
+
+struct Met {  // by the proxies of one zone
+  Fading tries, failed;
 };
 
 struct Server {
   ServerEntry entry;
-  bool listed = false;       // in the list as it stands
-  Micros changedAt = 0;      // when it last started, came back or was emptied, as far as seen; 0: never
-  std::map<int, Met> met;    // by zone of the proxies
+  bool listed = false;   // in the list as it stands
+  Micros changedAt = 0;  // when it last started or was taken back, as far as seen; 0: never
+
+  std::map<int, Met> met;  // by zone of the proxies
   Fading answers, latencySum, allTries;
-  std::deque<std::pair<Micros, double>> latencies;  // for the lowest of a span
+  std::deque<std::pair<Micros, double>> latencies;  // of a span, for the lowest
   Micros reportedAt = 0;
-  double strength = 1;       // what it bears against what its weight says
+
+  // Reckoned anew for each decision.
+  double heat = 0;      // of own slices as decided
+  double hidden = 0;    // of peers' slices as guessed
+  double latency = 0;   // heard; 0: unheard
+  double pressure = 0;  // heard latency as a share of the aims asked of it
+  Tally tally;
+
+  bool failing = false;
+  Micros failingUntil = 0, failingHold = 0;
+  double strength = 1;  // what it bears against what its weight says
   Micros strengthAt = 0;
-  Micros hotJudgedAt = 0;
   int hotRuns = 0;
-  Micros movedAt = 0;        // last time a slice was ordered off it
-  Micros nextMoveAt = 0;
-  Micros gaveAt = 0;         // last time it was given a slice by refill
-  bool failing = false;
-  Micros failingUntil = 0;
-  Micros failingHold = 0;
-  double admitted = 1;       // share of the work for it that is let in
-  double allowance = 0;      // heat per usable weight that it may be sent; 0: as much as comes
-  int rises = 0;             // of the allowance, one after the other
+  Micros hotJudgedAt = 0;
+  Micros movedAt = 0, nextMoveAt = 0;  // of slices off it
+  Micros gaveAt = 0;                   // of slices to it by refill
+  double admitted = 1;                 // share of its work that is let in
+  double allowance = 0;                // heat per listed weight that it may be sent; 0: as much as comes
   Micros allowedAt = 0;
-  bool withdrawn = false;    // sites without slices
+  int rises = 0;           // of the allowance, one after the other
+  bool withdrawn = false;  // without slices: ordered out of all tables
+
+  bool ready() const { return listed && entry.state == ServerState::Ready; }
+  bool usable() const { return ready() && !failing; }
+  double lowestLatency() const {
+    double low = 0;
+    for (const auto& [at, l] : latencies) low = low == 0 ? l : std::min(low, l);
+    return low;
+  }
 };
 
+using Lines = std::map<ServerId, double>;
+
 struct Slice {
-  bool mine = false;
-  std::map<ServerId, double> want;  // the table as decided
-  std::map<ServerId, double> sent;  // the table as last ordered or read from the store
-  ServerId home;                    // the line that carries the slice
-  ServerId firstHome;               // where it was when this supervisor got it
-  std::vector<Fading> demand;       // by class
+  Lines want, sent;                        // the table as decided, and as last ordered or read from the store
+  ServerId home;                           // the line that carries the slice
+  ServerId firstHome;                      // where it was when this supervisor got it
+  std::vector<Fading> demand;              // by class
   std::vector<double> levels, sentLevels;  // by class
-  Micros movedAt = 0;
-  Micros givenAt = 0;
-};
+  Micros movedAt = 0, givenAt = 0;
+  // oneOwner: after the old owner's line is ordered away, the proxies that have not yet confirmed.
+  std::set<ProxyId> unsettled;
+  int clearedBy = -1;
+  Micros freeAt = 0;
 
-struct Proxy {
-  int zone = 0;
-  Micros joinedAt = 0;
+  // The orders that turn the table as sent into the table as decided: changed lines only.
+  std::vector<Action> changedLines(TableId table) const {
+    std::vector<Action> orders;
+    for (const auto& [server, w] : want) {
+      const auto was = sent.find(server);
+      if (was == sent.end() || was->second != w) orders.push_back(SetLine{table, server, w});
+    }
+    for (const auto& [server, w] : sent) {
+      if (want.count(server) == 0) orders.push_back(SetLine{table, server, 0});
+    }
+    return orders;
+  }
 };
 
 }  // namespace peargrade
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -14,7 +14,9 @@
 using rapidjson::Value;
 
 // A place in the batch, for messages: "turn 12: supervisor 3: upstreamStats: 'total' is missing".
-[[noreturn]] void bad(const std::string& where, const std::string& what) { throw Malformed(where + ": " + what); }
+[[noreturn]] void bad(const std::string& where, const std::string& what) {
+  throw Malformed(where + ": " + what);
+}
 
 // Reads the fields of one JSON object and names it in every complaint.
 class Fields {
@@ -37,7 +39,8 @@
   std::int64_t integer(const char* name, std::int64_t least, std::int64_t most) const {
     return checkInteger(need(name), name, least, most);
   }
-  std::int64_t integerOr(const char* name, std::int64_t least, std::int64_t most, std::int64_t otherwise) const {
+  std::int64_t integerOr(const char* name, std::int64_t least, std::int64_t most,
+                         std::int64_t otherwise) const {
     const Value* v = find(name);
     return v == nullptr ? otherwise : checkInteger(*v, name, least, most);
   }
@@ -65,11 +68,13 @@
  private:
   std::int64_t checkInteger(const Value& v, const char* name, std::int64_t least, std::int64_t most) const {
     if (!v.IsInt64()) bad(where_, std::string("'") + name + "' is not a whole number");
-    if (v.GetInt64() < least || v.GetInt64() > most) bad(where_, std::string("'") + name + "' is out of range");
+    if (v.GetInt64() < least || v.GetInt64() > most)
+      bad(where_, std::string("'") + name + "' is out of range");
     return v.GetInt64();
   }
   double checkNumber(const Value& v, const char* name) const {
-    if (!v.IsNumber() || !std::isfinite(v.GetDouble())) bad(where_, std::string("'") + name + "' is not a number");
+    if (!v.IsNumber() || !std::isfinite(v.GetDouble()))
+      bad(where_, std::string("'") + name + "' is not a number");
     return v.GetDouble();
   }
   std::string checkText(const Value& v, const char* name) const {
@@ -244,8 +249,8 @@
 }
 
 Input parseEcho(const Fields& f) {
-  static constexpr ProbeOutcome kOutcomes[] = {ProbeOutcome::Error,    ProbeOutcome::Answered,
-                                               ProbeOutcome::Rejected, ProbeOutcome::Timeout,
+  static constexpr ProbeOutcome kOutcomes[] = {ProbeOutcome::Error,       ProbeOutcome::Answered,
+                                               ProbeOutcome::Rejected,    ProbeOutcome::Timeout,
                                                ProbeOutcome::Unreachable, ProbeOutcome::Broken};
   return Event{ProbeResult{serverId(f, "server"), kOutcomes[f.integer("ending", 0, 5)],
                            f.integerOr("durationUs", 0, kMicrosMax, 0)}};
@@ -284,17 +289,20 @@
       {"upstreamStats", parseUpstreamStats},
       {"usage",
        [](const Fields& f) {
-         return Input{Event{ProxyDemand{proxyOf(f), classOf(f), f.integer("total", 0, kIntMax),
-                                        f.integerOr("bad", 0, kIntMax, 0),
-                                        f.integer("windowUs", 0, kMicrosMax)}}};
+         return Input{
+             Event{ProxyDemand{proxyOf(f), classOf(f), f.integer("total", 0, kIntMax),
+                               f.integerOr("bad", 0, kIntMax, 0), f.integer("windowUs", 0, kMicrosMax)}}};
        }},
       {"activity",
        [](const Fields& f) {
-         return Input{Event{SliceDemand{tableOf(f), classOf(f), f.integer("total", 0, kIntMax),
-                                        f.integerOr("bad", 0, kIntMax, 0),
-                                        f.integer("windowUs", 0, kMicrosMax)}}};
+         return Input{
+             Event{SliceDemand{tableOf(f), classOf(f), f.integer("total", 0, kIntMax),
+                               f.integerOr("bad", 0, kIntMax, 0), f.integer("windowUs", 0, kMicrosMax)}}};
+       }},
+      {"charge",
+       [](const Fields& f) {
+         return Input{Event{SliceCharge{tableOf(f), f.mark("on")}}};
        }},
-      {"charge", [](const Fields& f) { return Input{Event{SliceCharge{tableOf(f), f.mark("on")}}}; }},
       {"onRecord",
        [](const Fields& f) {
          return Input{Event{StoredLine{tableOf(f), serverId(f, "server"), f.number("w")}}};
@@ -309,7 +317,8 @@
 }
 
 Input parseInput(const Value& value, const std::string& where) {
-  if (!value.IsObject() || value.MemberCount() != 1) bad(where, "an event is not an object with a single key");
+  if (!value.IsObject() || value.MemberCount() != 1)
+    bad(where, "an event is not an object with a single key");
   const auto& member = *value.MemberBegin();
   const std::string name(member.name.GetString(), member.name.GetStringLength());
   auto it = parsers().find(name);
@@ -405,7 +414,8 @@
 
 Batch parseBatch(const std::string& line) {
   rapidjson::Document doc;
-  doc.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseValidateEncodingFlag>(line.data(), line.size());
+  doc.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseValidateEncodingFlag>(line.data(),
+                                                                                        line.size());
   if (doc.HasParseError()) {
     bad("batch", std::string("not JSON: ") + rapidjson::GetParseError_En(doc.GetParseError()) + " at byte " +
                      std::to_string(doc.GetErrorOffset()));
@@ -421,7 +431,8 @@
     InputGroup in;
     in.supervisor = static_cast<int>(group.integer("supervisor", 0, kIntMax));
     const std::string place = where + ": supervisor " + std::to_string(in.supervisor);
-    for (const Value& e : Fields(g, place).array("input").GetArray()) in.input.push_back(parseInput(e, place));
+    for (const Value& e : Fields(g, place).array("input").GetArray())
+      in.input.push_back(parseInput(e, place));
     batch.groups.push_back(std::move(in));
   }
   return batch;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -1,4 +1,5 @@
-// JSON codec for the simulator's wire: one line in, one line out. It translates and checks; it decides nothing.
+// JSON codec for the simulator's wire: one line in, one line out. It translates and checks; it decides
+// nothing.
 #pragma once
 
 #include <cstdint>
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,5 +1,5 @@
-// The JSON codec: every event is read as the wire writes it, every action is written as the wire wants it, and
-// whatever is malformed is named instead of guessed.
+// The JSON codec: every event is read as the wire writes it, every action is written as the wire wants it,
+// and whatever is malformed is named instead of guessed.
 #include "wire/codec.h"
 
 #include <gtest/gtest.h>
@@ -16,8 +16,8 @@
     R"("rules":{"drainGraceUs":2800000,"startCapacity":0.15,"warmAfterUs":16000000},"newKey":{"a":1}})";
 
 std::string batch(const std::string& events, int supervisor = 3) {
-  return R"({"wallUs":1000,"turn":12,"groups":[{"supervisor":)" + std::to_string(supervisor) + R"(,"input":[)" +
-         events + "]}]}";
+  return R"({"wallUs":1000,"turn":12,"groups":[{"supervisor":)" + std::to_string(supervisor) +
+         R"(,"input":[)" + events + "]}]}";
 }
 
 template <class T>
@@ -46,8 +46,8 @@
 }
 
 TEST(Codec, SettingsAreReadAndUnknownKeysSkipped) {
-  const Batch b = parseBatch(batch(R"({"newInstance":{"randomSeed":18446744073709551615,"info":)" +
-                                   std::string(kInfo) + "}}"));
+  const Batch b = parseBatch(
+      batch(R"({"newInstance":{"randomSeed":18446744073709551615,"info":)" + std::string(kInfo) + "}}"));
   const auto& n = std::get<NewInstance>(b.groups[0].input[0]);
   EXPECT_EQ(n.seed, 18446744073709551615ull);
   ASSERT_EQ(n.settings.classes.size(), 2u);
@@ -101,7 +101,8 @@
   EXPECT_EQ(d.requests, 9);
   EXPECT_EQ(d.slice, 6);
   EXPECT_EQ(d.cls, 1);
-  const auto u = only<ProxyDemand>(R"({"usage":{"sidecar":41,"cls":0,"bad":1,"total":9,"windowUs":2000000}})");
+  const auto u =
+      only<ProxyDemand>(R"({"usage":{"sidecar":41,"cls":0,"bad":1,"total":9,"windowUs":2000000}})");
   EXPECT_EQ(u.proxy, 41);
   EXPECT_EQ(u.requests, 9);
   const auto joined = only<ProxyJoined>(R"({"enrolled":{"sidecar":41,"rackZone":1,"w":6.5,"on":true}})");
@@ -131,13 +132,14 @@
                 {SetTimer{500000, "sweep"}, WatchList{true}, FetchList{}, Probe{"s_a"}, TellPeers{"hi\n"},
                  SetLine{117, "s_b", 0.75}, ClearTable{4}, Withdraw{"s_a", false},
                  Admit{kAllTables, 2, 0.5, SecondTry::AfterProof}, Mark{7, true}, Log{"two \"known\""}}}}};
-  EXPECT_EQ(writeReply(reply),
-            R"({"turn":12,"groups":[{"supervisor":3,"out":[{"schedule":{"waitUs":500000,"handle":"sweep"}},)"
-            R"({"track":{"on":true}},{"lookup":{}},{"ping":{"server":"s_a"}},{"say":{"to":"*","octets":"68690a"}},)"
-            R"({"setLine":{"tbl":117,"server":"s_b","w":0.75}},{"truncate":{"tbl":4}},)"
-            R"({"pull":{"on":false,"server":"s_a"}},)"
-            R"({"throttle":{"tbl":65535,"secondTry":1,"classes":2,"limit":0.5}},{"nonce":{"on":true,"rev":7}},)"
-            R"({"print":{"text":"two \"known\""}}]}]})");
+  EXPECT_EQ(
+      writeReply(reply),
+      R"({"turn":12,"groups":[{"supervisor":3,"out":[{"schedule":{"waitUs":500000,"handle":"sweep"}},)"
+      R"({"track":{"on":true}},{"lookup":{}},{"ping":{"server":"s_a"}},{"say":{"to":"*","octets":"68690a"}},)"
+      R"({"setLine":{"tbl":117,"server":"s_b","w":0.75}},{"truncate":{"tbl":4}},)"
+      R"({"pull":{"on":false,"server":"s_a"}},)"
+      R"({"throttle":{"tbl":65535,"secondTry":1,"classes":2,"limit":0.5}},{"nonce":{"on":true,"rev":7}},)"
+      R"({"print":{"text":"two \"known\""}}]}]})");
 }
 
 struct Bad {
@@ -161,7 +163,8 @@
         Bad{R"({"turn":9,"wallUs":1})", "batch 9: 'groups' is missing"},
         Bad{R"({"turn":9,"wallUs":1,"groups":{}})", "'groups' is not an array"},
         Bad{R"({"turn":9,"wallUs":1,"groups":[{"input":[]}]})", "'supervisor' is missing"},
-        Bad{R"({"turn":9,"wallUs":1,"groups":[{"supervisor":-1,"input":[]}]})", "'supervisor' is out of range"},
+        Bad{R"({"turn":9,"wallUs":1,"groups":[{"supervisor":-1,"input":[]}]})",
+            "'supervisor' is out of range"},
         Bad{R"({"turn":9,"wallUs":1,"groups":[{"supervisor":2,"input":[{"bogus":{}}]}]})",
             "batch 9: supervisor 2: unknown event 'bogus'"},
         Bad{R"({"turn":9,"wallUs":1,"groups":[{"supervisor":2,"input":[{"parted":{},"retire":{}}]}]})",
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -58,7 +58,8 @@
 }
 
 TEST(Host, AnEventForAnUnknownInstanceIsRefused) {
-  const Served s = feed("{\"wallUs\":5,\"turn\":4,\"groups\":[{\"supervisor\":9,\"input\":[{\"parted\":{\"sidecar\":1}}]}]}\n");
+  const Served s = feed(
+      "{\"wallUs\":5,\"turn\":4,\"groups\":[{\"supervisor\":9,\"input\":[{\"parted\":{\"sidecar\":1}}]}]}\n");
   EXPECT_EQ(s.code, 1);
   EXPECT_EQ(s.out, "");
   EXPECT_NE(s.err.find("batch 4: supervisor 9: event for an unknown instance"), std::string::npos) << s.err;
@@ -66,15 +67,18 @@
 
 TEST(Host, ARetiredInstanceIsUnknownUntilItStartsAgain) {
   const std::string head = "{\"wallUs\":5,\"turn\":1,\"groups\":[";
-  const std::string retire = "{\"wallUs\":6,\"turn\":2,\"groups\":[{\"supervisor\":1,\"input\":[{\"retire\":{}}]}]}\n";
-  const std::string late = "{\"wallUs\":7,\"turn\":3,\"groups\":[{\"supervisor\":1,\"input\":[{\"parted\":{\"sidecar\":1}}]}]}\n";
+  const std::string retire =
+      "{\"wallUs\":6,\"turn\":2,\"groups\":[{\"supervisor\":1,\"input\":[{\"retire\":{}}]}]}\n";
+  const std::string late =
+      "{\"wallUs\":7,\"turn\":3,\"groups\":[{\"supervisor\":1,\"input\":[{\"parted\":{\"sidecar\":1}}]}]}\n";
   EXPECT_EQ(feed(head + start(1, 7) + "]}\n" + retire + late).code, 1);
   EXPECT_EQ(feed(head + start(1, 7) + "]}\n" + retire + head + start(1, 9) + "]}\n" + late).code, 0);
 }
 
 TEST(Host, ASliceThatDoesNotExistIsRefused) {
-  const Served s = feed("{\"wallUs\":5,\"turn\":1,\"groups\":[" + start(1, 7) +
-                        "]}\n{\"wallUs\":6,\"turn\":2,\"groups\":[{\"supervisor\":1,\"input\":[{\"charge\":{\"tbl\":4}}]}]}\n");
+  const Served s = feed(
+      "{\"wallUs\":5,\"turn\":1,\"groups\":[" + start(1, 7) +
+      "]}\n{\"wallUs\":6,\"turn\":2,\"groups\":[{\"supervisor\":1,\"input\":[{\"charge\":{\"tbl\":4}}]}]}\n");
   EXPECT_EQ(s.code, 1);
   EXPECT_NE(s.err.find("batch 2"), std::string::npos) << s.err;
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -87,8 +87,10 @@
     e.server = server;
     e.state = state;
     if (startedAt > 0) e.startedAt = startedAt;
-    if (state == ServerState::Gone) list.erase(server);
-    else list[server] = e;
+    if (state == ServerState::Gone)
+      list.erase(server);
+    else
+      list[server] = e;
     ListNews n;
     n.mode = ListMode::Delta;
     n.entries = {e};
@@ -102,8 +104,10 @@
       if (const auto* line = std::get_if<SetLine>(&a)) {
         wrote = true;
         ++linesSent;
-        if (line->weight > 0) tables[line->table][line->server] = line->weight;
-        else tables[line->table].erase(line->server);
+        if (line->weight > 0)
+          tables[line->table][line->server] = line->weight;
+        else
+          tables[line->table].erase(line->server);
       }
       if (const auto* admit = std::get_if<Admit>(&a)) {
         wrote = true;
@@ -167,7 +171,8 @@
         const double share = badShare.count({server, zone}) > 0 ? badShare[{server, zone}] : 0;
         const Micros took = latency.count(server) > 0 ? latency[server] : 100 * kMs;
         const auto failed = static_cast<std::int64_t>(static_cast<double>(mine) * share + 0.5);
-        ev.push_back(ServerReport{zone, server, mine, failed, failed < mine ? took : 0, settings.reportEvery});
+        ev.push_back(
+            ServerReport{zone, server, mine, failed, failed < mine ? took : 0, settings.reportEvery});
       }
     }
   }
@@ -303,8 +308,8 @@
   EXPECT_EQ(s.homesAt("s_d"), 4);
 }
 
-// A supervisor that gets slices after its peer died has heard nothing of them: as cold slices they would all have
-// gone to one server (seen to push a cold one over).
+// A supervisor that gets slices after its peer died has heard nothing of them: as cold slices they would all
+// have gone to one server (seen to push a cold one over).
 TEST(Placement, SlicesJustGivenAreSpreadAsMeanOnes) {
   Scene s;
   s.start(8);
