--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -652,8 +652,9 @@
       Server& s = servers[e.server];
       const Micros before = s.entry.startedAt;
       if (news.mode != ListMode::Cached && e.startedAt > before && e.state == ServerState::Ready) {
-        s = Server{};
-        s.changedAt = s.movedAt = now;
+        Server fresh;
+        fresh.changedAt = fresh.movedAt = now;
+        std::swap(s, fresh);
       }
       s.entry = e;
       s.entry.startedAt = std::max(before, e.startedAt);
