Nothing moves off hot servers, and no strength is judged, while the fleet is strained

Cause: each move makes keys cold, which doubles their work just when work is short. Steps of strength of a fifth (from a tenth) outside strain.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -32,7 +32,7 @@
 constexpr double kHotLatency = 2;
 constexpr int kHotReports = 3;
 constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
-constexpr double kStrengthLeast = 0.4, kWeaker = 0.9, kStronger = 0.01, kFairLoad = 0.7;
+constexpr double kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
 // Admission: pressure is heard latency as a share of the aim.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35, kRefusing = 0.2, kStep = 0.1;
 constexpr double kHaste = 0.7, kHasteLeast = 0.5;
@@ -403,7 +403,7 @@
       if (s.usable()) pressures.push_back(s.pressure);
     }
     std::sort(pressures.begin(), pressures.end());
-    if (pressures.empty() || pressures[pressures.size() / 2] > kRelaxed) return;
+    if (pressures.empty() || pressures[pressures.size() / 2] > kRelaxed || strained) return;
     const double mean = meanLoad();
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s) || now < std::max(s.strengthAt, s.movedAt) + settle()) continue;
@@ -457,7 +457,7 @@
       open += s.usable();
       hot += s.usable() && isHot(s);
     }
-    if (hot == 0 || hot == open) return;
+    if (hot == 0 || hot == open || strained) return;
     const double mean = meanLoad();
     for (auto& [id, s] : servers) {
       if (!s.usable() || !isHot(s) || now < s.nextMoveAt) continue;
