--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -69,7 +69,7 @@
   bool urgent = false;          // an order that waits serves a drain, a failure or a start
   std::deque<Micros> messages;  // when replies that write to proxies went out
   double queued = 0;            // lines that wait in the channel, as reckoned
-  Micros queuedAt = 0, routineAt = 0;
+  Micros queuedAt = 0, routineAt = 0, countedAt = 0;
   int lastMark = 0;
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {}
@@ -82,7 +82,7 @@
   double rate(const Slice& s, std::size_t cls) const {
     const double seen = std::max(0.2, static_cast<double>(now - s.givenAt) / kDemandMemory);
     const double memory = seconds(kDemandMemory) * (1 - std::exp(-seen));
-    return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * (1 - s.sentLevels[cls]));
+    return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * (1 - s.pastLevels[cls]));
   }
 
   double measuredHeat(const Slice& s) const {
@@ -101,14 +101,19 @@
 
   // Clients that were refused come again and are counted again, and at some sites are refused again: taken
   // for new demand they would lower the levels, and so bring more of themselves. How many times they come is
-  // what makes the tries that the servers saw fit the levels in force.
+  // what makes the tries that the servers saw fit the levels that were in force.
   void countRepeats() {
+    const double fresh = 1 - std::exp(-static_cast<double>(now - countedAt) / kDemandMemory);
+    countedAt = now;
+    for (auto& [t, s] : slices) {
+      for (std::size_t c = 0; c < s.levels.size(); ++c) s.pastLevels[c] += fresh * (s.sentLevels[c] - s.pastLevels[c]);
+    }
     double tries = 0;
     std::vector<std::pair<double, double>> arrivals;  // level, rate
     repeats = 0;
     for (const auto& [id, s] : servers) tries += s.allTries.at(now, kDemandMemory) / seconds(kDemandMemory);
     for (const auto& [t, s] : slices) {
-      for (std::size_t c = 0; c < s.demand.size(); ++c) arrivals.emplace_back(s.sentLevels[c], rate(s, c));
+      for (std::size_t c = 0; c < s.demand.size(); ++c) arrivals.emplace_back(s.pastLevels[c], rate(s, c));
     }
     double low = 0, high = kRepeatsMost;
     for (int i = 0; i < 6; ++i) {
@@ -717,7 +722,7 @@
     s.givenAt = s.movedAt = now;
     s.demand.resize(cfg.classes.size());
     s.levels.assign(cfg.classes.size(), 1);
-    s.sentLevels = s.levels;
+    s.sentLevels = s.pastLevels = s.levels;
   }
 
   // The store's tables are taken as they are.
--- a/src/state.h
+++ b/src/state.h
@@ -103,7 +103,7 @@
   ServerId home;                           // the line that carries the slice
   ServerId firstHome;                      // where it was when this supervisor got it
   std::vector<Fading> demand;              // by class
-  std::vector<double> levels, sentLevels;  // by class
+  std::vector<double> levels, sentLevels, pastLevels;  // by class
   Micros movedAt = 0, givenAt = 0;
   // oneOwner: after the old owner's line is ordered away, the proxies that have not yet confirmed.
   std::set<ProxyId> unsettled;
