--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,6 +35,7 @@
 constexpr double kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
 // Admission: pressure is heard latency as a share of the aim.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35, kRefusing = 0.2, kStep = 0.1;
+constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.65;
 constexpr double kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
 constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
@@ -106,7 +107,8 @@
     const double fresh = 1 - std::exp(-static_cast<double>(now - countedAt) / kDemandMemory);
     countedAt = now;
     for (auto& [t, s] : slices) {
-      for (std::size_t c = 0; c < s.levels.size(); ++c) s.pastLevels[c] += fresh * (s.sentLevels[c] - s.pastLevels[c]);
+      for (std::size_t c = 0; c < s.levels.size(); ++c)
+        s.pastLevels[c] += fresh * (s.sentLevels[c] - s.pastLevels[c]);
     }
     double tries = 0;
     std::vector<std::pair<double, double>> arrivals;  // level, rate
@@ -497,13 +499,19 @@
       if (!s.usable() || isCold(s)) continue;
       const double density = (s.heat + s.hidden) / listedWeight(s);
       const double bad = s.tally.badShare();
+      const double free = s.allowance > 0 ? std::min(s.allowance, density) : density;
       if (now - s.allowedAt > settle()) {
         if (s.pressure > kOverloaded || (bad > kRefusing && s.pressure > kRelaxed)) {
-          s.allowance = (s.allowance > 0 ? std::min(s.allowance, density) : density) * (1 - kStep);
+          if (s.rises > 0 || s.allowance == 0) s.pressedAt = free;
+          if (free * (1 - kStep) >= kDeepest * s.pressedAt || now - s.allowedAt > 3 * settle()) {
+            s.allowance = free * (1 - kStep);
+            s.allowedAt = now;
+          }
           s.rises = 0;
-          s.allowedAt = now;
         } else if (s.pressure < kRelaxed && bad < kRefusing / 2 && s.allowance > 0) {
-          s.allowance = s.allowance > density ? 0 : s.allowance * (1 + kStep * ++s.rises);
+          const double near = std::max(s.allowance * (1 + kSlowStep), kNearPressed * s.pressedAt);
+          s.allowance = std::min(s.allowance * (1 + kStep * ++s.rises), near);
+          if (s.allowance > density) s.allowance = 0;
           s.allowedAt = now;
         }
       }
--- a/src/state.h
+++ b/src/state.h
@@ -83,6 +83,7 @@
   Micros gaveAt = 0;                   // of slices to it by refill
   double admitted = 1;                 // share of its work that is let in
   double allowance = 0;                // heat per listed weight that it may be sent; 0: as much as comes
+  double pressedAt = 0;                // what it got when it was last found pressed
   Micros allowedAt = 0;
   int rises = 0;           // of the allowance, one after the other
   bool withdrawn = false;  // without slices: ordered out of all tables
@@ -99,10 +100,10 @@
 using Lines = std::map<ServerId, double>;
 
 struct Slice {
-  Lines want, sent;                        // the table as decided, and as last ordered or read from the store
-  ServerId home;                           // the line that carries the slice
-  ServerId firstHome;                      // where it was when this supervisor got it
-  std::vector<Fading> demand;              // by class
+  Lines want, sent;            // the table as decided, and as last ordered or read from the store
+  ServerId home;               // the line that carries the slice
+  ServerId firstHome;          // where it was when this supervisor got it
+  std::vector<Fading> demand;  // by class
   std::vector<double> levels, sentLevels, pastLevels;  // by class
   Micros movedAt = 0, givenAt = 0;
   // oneOwner: after the old owner's line is ordered away, the proxies that have not yet confirmed.
