--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -25,6 +25,8 @@
 // Placement.
 constexpr double kColdDiscount = 0.6;   // a cold server has cold keys too
 constexpr double kNearlyCoolest = 1.1;  // among these the seed picks, so that supervisors differ
+constexpr Micros kRollingSpan = 10 * kSecond;
+constexpr double kNextToGo = 1.3;
 constexpr double kStandbyShare = 0.001;
 constexpr double kRefillBelow = 0.8;
 constexpr Micros kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond, kTargetAge = 2 * kSecond;
@@ -60,7 +62,7 @@
   std::map<TableId, Slice> slices;
   std::set<ProxyId> proxies;
   bool booted = false, listFresh = false, subscribed = false;
-  Micros askAgainAt = 0, askBackoff = kAskFirst;
+  Micros drainSeenAt = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
   double allHeat = 0, allWeight = 0;  // weight of usable servers, as if all were warm
   double meanSlice = 1, peers = 1;  // heat of a mean slice; the whole fleet's heat against that of own slices
@@ -156,6 +158,13 @@
     return weights > 0 ? allHeat / weights : 0;
   }
 
+  // Load as a batch of evacuations weighs it. While servers drain one after the other those not yet replaced
+  // are likely to be next: a slice put there moves twice.
+  double lastingLoad(const Server& s, double more) const {
+    const bool rolling = drainSeenAt > 0 && now - drainSeenAt < kRollingSpan;
+    return load(s, more) * (rolling && s.changedAt == 0 ? kNextToGo : 1);
+  }
+
   // Time until the reports show what was ordered.
   Micros settle() const { return cfg.orderDelay + cfg.reportEvery + kReportsLag; }
 
@@ -268,11 +277,11 @@
   ServerId coolest(double h, Allowed allowed) {
     double best = -1;
     for (const ServerRef& s : servers) {
-      if (allowed(s) && (best < 0 || load(s.second, h) < best)) best = load(s.second, h);
+      if (allowed(s) && (best < 0 || lastingLoad(s.second, h) < best)) best = lastingLoad(s.second, h);
     }
     std::vector<ServerId> near;
     for (const ServerRef& s : servers) {
-      if (allowed(s) && load(s.second, h) <= best * kNearlyCoolest) near.push_back(s.first);
+      if (allowed(s) && lastingLoad(s.second, h) <= best * kNearlyCoolest) near.push_back(s.first);
     }
     return near.empty() ? ServerId() : near[rng.next() % near.size()];
   }
@@ -672,6 +681,7 @@
       s.entry = e;
       s.entry.startedAt = std::max(before, e.startedAt);
       s.listed = e.state != ServerState::Gone;
+      if (e.state == ServerState::Draining) drainSeenAt = now;
     }
     if (news.mode == ListMode::Cached) return;
     listFresh = true;
