--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -147,9 +147,11 @@
   }
 
   // Projected heat per unit of usable weight. Peers are taken to send a changed server as much as this one
-  // does.
+  // does, but the first slice there counts alone: in a fleet that has grown, a slice and its double would fit
+  // nowhere.
   double load(const Server& s, double more = 0) const {
-    return (s.heat + s.hidden + more * (s.changedAt > 0 ? peers : 1)) / std::max(1e-9, weight(s) * ramp(s));
+    const double doubled = s.changedAt > 0 && s.heat > 0 ? peers : 1;
+    return (s.heat + s.hidden + more * doubled) / std::max(1e-9, weight(s) * ramp(s));
   }
 
   double meanLoad() const {
