--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,7 +23,7 @@
                  kStillAnswers = 0.2;
 constexpr Micros kFailingHold = 8 * kSecond;
 // Placement.
-constexpr double kColdDiscount = 0.6;   // a cold server has cold keys too
+constexpr double kColdDiscount = 0.85;   // a cold server has cold keys too
 constexpr double kNearlyCoolest = 1.1;  // among these the seed picks, so that supervisors differ
 constexpr Micros kRollingSpan = 10 * kSecond;
 constexpr double kNextToGo = 1.3;
