--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,7 +23,7 @@
                  kStillAnswers = 0.2;
 constexpr Micros kFailingHold = 8 * kSecond;
 // Placement.
-constexpr double kColdDiscount = 0.85;   // a cold server has cold keys too
+constexpr double kColdDiscount = 0.85;  // a cold server has cold keys too
 constexpr double kNearlyCoolest = 1.1;  // among these the seed picks, so that supervisors differ
 constexpr Micros kRollingSpan = 10 * kSecond;
 constexpr double kNextToGo = 1.3;
@@ -40,6 +40,7 @@
 constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.8;
 constexpr double kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
+constexpr double kUsualRise = 0.05;         // a second
 constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
@@ -72,7 +73,7 @@
   bool urgent = false;          // an order that waits serves a drain, a failure or a start
   std::deque<Micros> messages;  // when replies that write to proxies went out
   double queued = 0;            // lines that wait in the channel, as reckoned
-  Micros queuedAt = 0, routineAt = 0, countedAt = 0;
+  Micros queuedAt = 0, routineAt = 0, countedAt = 0, usualAt = 0;
   int lastMark = 0;
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {}
@@ -533,12 +534,18 @@
       taken += s.admitted * (s.heat + s.hidden);
       weights += listedWeight(s);
     }
-    if (weights > 0) usual = taken / weights;
+    // Under strain it rises slowly: what a server gets that was warm or let off just now is not yet what it
+    // bears.
+    const double most = usual * (1 + kUsualRise * seconds(now - usualAt));
+    if (weights > 0) usual = strained && usual > 0 ? std::min(taken / weights, most) : taken / weights;
+    usualAt = now;
     strained = 3 * bound > open || all.badShare() > kStrainedBadShare;
     for (auto& [id, s] : servers) {
       const double density = (s.heat + s.hidden) / (listedWeight(s) * ramp(s));
       const double haste = std::clamp(1 - kHaste * (s.pressure - kOverloaded), kHasteLeast, 1.0);
       const double allowed = isCold(s) ? usual : s.allowance * haste;
+      if (strained && isCold(s) && density > allowed)
+        s.allowance = s.pressedAt = usual;  // from where it goes on when warm
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
     }
     setLevels();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -556,6 +556,30 @@
   for (int t = 0; t < 12; ++t) EXPECT_LT((s.levels[{t, 0}]), 0.5) << t;
 }
 
+// In an overloaded deploy the last warm servers went and one that had just turned warm, with no allowance of
+// its own, was taken as the measure of what a server bears: cold ones were let in all at once and fell over.
+TEST(Admission, UnderStrainWhatColdServersMayTakeDoesNotJump) {
+  Scene s(plainSettings(), 4);
+  s.start(16);
+  s.run(8 * kSecond);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+  s.run(15 * kSecond);
+  s.tell("s_e", ServerState::Ready, s.now - 15 * kSecond);  // warm in a second, and never yet pressed
+  s.tell("s_b", ServerState::Ready, s.now - 3 * kSecond);   // cold for long
+  s.tell("s_a", ServerState::Gone);
+  s.tell("s_c", ServerState::Gone);
+  s.tell("s_d", ServerState::Gone);
+  s.latency["s_e"] = s.latency["s_b"] = 100 * kMs;
+  s.run(2 * kSecond);
+  int cold = 0;
+  for (int t = 0; t < 16; ++t) {
+    if (s.home(t) != "s_b") continue;
+    ++cold;
+    EXPECT_LT((s.levels[{t, 0}]), 0.5) << t;
+  }
+  EXPECT_GE(cold, 1);
+}
+
 TEST(Retries, NeverBeyondProofForWhatMayTakeEffectTwice) {
   Settings settings = plainSettings();
   settings.classes[1].effect = Effect::ByKey;
