--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -203,8 +203,11 @@
       first[s.firstHome] += h;
       own += h;
       ++mine;
-      aims[s.home] += measuredHeat(s);
-      for (std::size_t c = 0; c < s.demand.size(); ++c) requests[s.home] += rate(s, c);
+      for (std::size_t c = 0; c < s.demand.size();
+           ++c) {  // of what is let in: refused classes answer nothing
+        requests[s.home] += s.sentLevels[c] * rate(s, c);
+        aims[s.home] += s.sentLevels[c] * rate(s, c) * work(c);
+      }
     }
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
