--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -74,6 +74,7 @@
   std::deque<Micros> messages;  // when replies that write to proxies went out
   double queued = 0;            // lines that wait in the channel, as reckoned
   Micros queuedAt = 0, routineAt = 0, countedAt = 0, usualAt = 0;
+  Micros heardFrom = 0;  // the first reports of demand begin here
   int lastMark = 0;
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {}
@@ -83,9 +84,12 @@
   // Work isn't told; the aim of a class stands for it, since operators grant heavier requests more time.
   double work(std::size_t cls) const { return seconds(cfg.classes[cls].aim); }
 
+  // Counted over the time that reports cover: without this a supervisor that has just started takes the first of them
+  // for all there is, and learns allowances far too low.
   double rate(const Slice& s, std::size_t cls) const {
-    const double seen = std::max(0.2, static_cast<double>(now - s.givenAt) / kDemandMemory);
-    const double memory = seconds(kDemandMemory) * (1 - std::exp(-seen));
+    const Micros from = s.givenAt > heardFrom ? s.givenAt + kReportsLag : heardFrom;
+    const Micros seen = std::max(cfg.reportEvery, now - from);
+    const double memory = seconds(kDemandMemory) * (1 - std::exp(-static_cast<double>(seen) / kDemandMemory));
     return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * (1 - s.pastLevels[cls]));
   }
 
@@ -742,6 +746,7 @@
   void on(const SliceDemand& d) {
     const auto it = slices.find(d.slice);
     if (it == slices.end() || d.cls < 0 || d.cls >= static_cast<int>(cfg.classes.size())) return;
+    if (heardFrom == 0) heardFrom = now - d.window;
     it->second.demand[d.cls].add(now, static_cast<double>(d.requests), kDemandMemory);
   }
 
