--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -84,8 +84,8 @@
   // Work isn't told; the aim of a class stands for it, since operators grant heavier requests more time.
   double work(std::size_t cls) const { return seconds(cfg.classes[cls].aim); }
 
-  // Counted over the time that reports cover: without this a supervisor that has just started takes the first of them
-  // for all there is, and learns allowances far too low.
+  // Counted over the time that reports cover: without this a supervisor that has just started takes the first
+  // of them for all there is, and learns allowances far too low.
   double rate(const Slice& s, std::size_t cls) const {
     const Micros from = s.givenAt > heardFrom ? s.givenAt + kReportsLag : heardFrom;
     const Micros seen = std::max(cfg.reportEvery, now - from);
@@ -131,7 +131,7 @@
       for (const auto& [level, r] : arrivals) letIn += level * r / (1 + guess * (1 - level));
       (letIn > tries ? low : high) = guess;
     }
-    repeats = low;
+    repeats = low < kRepeatsMost - 0.1 ? low : 0;  // no number of repeats explains it
   }
 
   double listedWeight(const Server& s) const {
@@ -511,6 +511,8 @@
   // While pressure is high a passing cut lets the queue drain. A cold server is held to what warm ones bear,
   // by its ramp, whoever sends the load.
   void admit() {
+    // A supervisor that has just started knows no densities yet; until then only the passing cut acts.
+    const bool young = heardFrom == 0 || now - heardFrom < kDemandMemory / 2;
     std::size_t open = 0, bound = 0;
     double taken = 0, weights = 0;
     Tally all;
@@ -519,7 +521,7 @@
       const double density = (s.heat + s.hidden) / listedWeight(s);
       const double bad = s.tally.badShare();
       const double free = s.allowance > 0 ? std::min(s.allowance, density) : density;
-      if (now - s.allowedAt > settle()) {
+      if (!young && now - s.allowedAt > settle()) {
         if (s.pressure > kOverloaded || (bad > kRefusing && s.pressure > kRelaxed)) {
           if (s.rises > 0 || s.allowance == 0) s.pressedAt = free;
           if (free * (1 - kStep) >= kDeepest * s.pressedAt || now - s.allowedAt > 3 * settle()) {
@@ -528,8 +530,9 @@
           }
           s.rises = 0;
         } else if (s.pressure < kRelaxed && bad < kRefusing / 2 && s.allowance > 0) {
-          const double near = std::max(s.allowance * (1 + kSlowStep), kNearPressed * s.pressedAt);
-          s.allowance = std::min(s.allowance * (1 + kStep * ++s.rises), near);
+          ++s.rises;
+          const double near = std::max(s.allowance * (1 + kSlowStep * s.rises), kNearPressed * s.pressedAt);
+          s.allowance = std::min(s.allowance * (1 + kStep * s.rises), near);
           if (s.allowance > density) s.allowance = 0;
           s.allowedAt = now;
         }
@@ -550,7 +553,7 @@
     for (auto& [id, s] : servers) {
       const double density = (s.heat + s.hidden) / (listedWeight(s) * ramp(s));
       const double haste = std::clamp(1 - kHaste * (s.pressure - kOverloaded), kHasteLeast, 1.0);
-      const double allowed = isCold(s) ? usual : s.allowance * haste;
+      const double allowed = isCold(s) ? usual : haste * (young && haste < 1 ? density : s.allowance);
       if (strained && isCold(s) && density > allowed)
         s.allowance = s.pressedAt = usual;  // from where it goes on when warm
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
