--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,7 @@
 constexpr double kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
 // Admission: pressure is heard latency as a share of the aim.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.35, kRefusing = 0.2, kStep = 0.1;
-constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.8;
+constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4;
 constexpr double kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
 constexpr double kUsualRise = 0.05;         // a second
@@ -523,9 +523,9 @@
       const double free = s.allowance > 0 ? std::min(s.allowance, density) : density;
       if (!young && now - s.allowedAt > settle()) {
         if (s.pressure > kOverloaded || (bad > kRefusing && s.pressure > kRelaxed)) {
-          if (s.rises > 0 || s.allowance == 0) s.pressedAt = free;
+          if (s.rises > 0 || s.allowance == 0) s.pressedAt = free * std::max(kAnsweredLeast, 1 - bad);
           if (free * (1 - kStep) >= kDeepest * s.pressedAt || now - s.allowedAt > 3 * settle()) {
-            s.allowance = free * (1 - kStep);
+            s.allowance = std::min(free, s.pressedAt) * (1 - kStep);
             s.allowedAt = now;
           }
           s.rises = 0;
