--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,7 +40,7 @@
 constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4;
 constexpr double kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
-constexpr double kUsualRise = 0.05;         // a second
+constexpr double kUsualRise = 0.1;          // a second
 constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
 // Pacing.
 constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
@@ -523,14 +523,16 @@
       const double free = s.allowance > 0 ? std::min(s.allowance, density) : density;
       if (!young && now - s.allowedAt > settle()) {
         if (s.pressure > kOverloaded || (bad > kRefusing && s.pressure > kRelaxed)) {
-          if (s.rises > 0 || s.allowance == 0) s.pressedAt = free * std::max(kAnsweredLeast, 1 - bad);
+          if (s.rises > 0 || s.allowance == 0)
+            s.pressedAt = free * (strained ? std::max(kAnsweredLeast, 1 - bad) : 1);
           if (free * (1 - kStep) >= kDeepest * s.pressedAt || now - s.allowedAt > 3 * settle()) {
             s.allowance = std::min(free, s.pressedAt) * (1 - kStep);
             s.allowedAt = now;
           }
           s.rises = 0;
         } else if (s.pressure < kRelaxed && bad < kRefusing / 2 && s.allowance > 0) {
-          ++s.rises;
+          ++s.rises;  // a server far below the relaxed mark was not pressed near here: the mark moves up
+          s.pressedAt = std::max(s.pressedAt, s.allowance * kRelaxed / std::max(s.pressure, kRelaxed / 2));
           const double near = std::max(s.allowance * (1 + kSlowStep * s.rises), kNearPressed * s.pressedAt);
           s.allowance = std::min(s.allowance * (1 + kStep * s.rises), near);
           if (s.allowance > density) s.allowance = 0;
