--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -16,11 +16,10 @@
 constexpr Micros kSweepEvery = 250 * kMs;
 constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond;
 constexpr Micros kReportsLag = 1 * kSecond;  // reports are about this late; no setting tells
-constexpr double kFewAnswers = 4, kRepeatsMost = 3;
+constexpr double kFewAnswers = 4;
 constexpr Micros kLowestSpan = 30 * kSecond;
 // Health: a server fails from this share of tries, if that is so many times what the others show.
-constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kSharedBadShare = 0.3,
-                 kStillAnswers = 0.2;
+constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kStillAnswers = 0.2;
 constexpr Micros kFailingHold = 8 * kSecond;
 // Placement.
 constexpr double kColdDiscount = 0.85;  // a cold server has cold keys too
@@ -67,13 +66,12 @@
   // Of the fleet, reckoned anew for each decision.
   double allHeat = 0, allWeight = 0;  // weight of usable servers, as if all were warm
   double meanSlice = 1, peers = 1;  // heat of a mean slice; the whole fleet's heat against that of own slices
-  double repeats = 0;               // how often a refused client comes again
   double usual = 0;                 // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
   bool urgent = false;          // an order that waits serves a drain, a failure or a start
   std::deque<Micros> messages;  // when replies that write to proxies went out
   double queued = 0;            // lines that wait in the channel, as reckoned
-  Micros queuedAt = 0, routineAt = 0, countedAt = 0, usualAt = 0;
+  Micros queuedAt = 0, routineAt = 0, usualAt = 0;
   Micros heardFrom = 0;  // the first reports of demand begin here
   int lastMark = 0;
 
@@ -90,7 +88,7 @@
     const Micros from = s.givenAt > heardFrom ? s.givenAt + kReportsLag : heardFrom;
     const Micros seen = std::max(cfg.reportEvery, now - from);
     const double memory = seconds(kDemandMemory) * (1 - std::exp(-static_cast<double>(seen) / kDemandMemory));
-    return s.demand[cls].at(now, kDemandMemory) / memory / (1 + repeats * (1 - s.pastLevels[cls]));
+    return s.demand[cls].at(now, kDemandMemory) / memory;
   }
 
   double measuredHeat(const Slice& s) const {
@@ -107,33 +105,6 @@
     return trust * measuredHeat(s) + (1 - trust) * meanSlice;
   }
 
-  // Clients that were refused come again and are counted again, and at some sites are refused again: taken
-  // for new demand they would lower the levels, and so bring more of themselves. How many times they come is
-  // what makes the tries that the servers saw fit the levels that were in force.
-  void countRepeats() {
-    const double fresh = 1 - std::exp(-static_cast<double>(now - countedAt) / kDemandMemory);
-    countedAt = now;
-    for (auto& [t, s] : slices) {
-      for (std::size_t c = 0; c < s.levels.size(); ++c)
-        s.pastLevels[c] += fresh * (s.sentLevels[c] - s.pastLevels[c]);
-    }
-    double tries = 0;
-    std::vector<std::pair<double, double>> arrivals;  // level, rate
-    repeats = 0;
-    for (const auto& [id, s] : servers) tries += s.allTries.at(now, kDemandMemory) / seconds(kDemandMemory);
-    for (const auto& [t, s] : slices) {
-      for (std::size_t c = 0; c < s.demand.size(); ++c) arrivals.emplace_back(s.pastLevels[c], rate(s, c));
-    }
-    double low = 0, high = kRepeatsMost;
-    for (int i = 0; i < 6; ++i) {
-      const double guess = (low + high) / 2;
-      double letIn = 0;
-      for (const auto& [level, r] : arrivals) letIn += level * r / (1 + guess * (1 - level));
-      (letIn > tries ? low : high) = guess;
-    }
-    repeats = low < kRepeatsMost - 0.1 ? low : 0;  // no number of repeats explains it
-  }
-
   double listedWeight(const Server& s) const {
     return cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1;
   }
@@ -175,21 +146,10 @@
   // Time until the reports show what was ordered.
   Micros settle() const { return cfg.orderDelay + cfg.reportEvery + kReportsLag; }
 
-  Tally tallyOf(const Server& s, const std::set<int>& blind) const {
-    Tally sum;
-    for (const auto& [zone, met] : s.met) {
-      if (blind.count(zone) > 0) continue;
-      sum.tries += met.tries.at(now, kHealthMemory);
-      sum.failed += met.failed.at(now, kHealthMemory);
-    }
-    return sum;
-  }
-
   // Heat by server, from the tables as decided, so that moves in flight count at their target. What peers'
   // slices bring is unseen: the store's first tables are taken as fair, so it is what own slices lacked there
   // at first; on a server that changed since, peers are taken to have done as this supervisor did.
   void reckon() {
-    countRepeats();
     int mine = 0, known = 0;
     double sum = 0, own = 0, weights = 0;
     for (const auto& [t, s] : slices) {
@@ -216,7 +176,7 @@
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
       allWeight += s.usable() ? weight(s) : 0;
-      s.tally = tallyOf(s, {});
+      s.tally = {s.tries.at(now, kHealthMemory), s.failed.at(now, kHealthMemory)};
       const double answers = s.answers.at(now, kHealthMemory);
       s.latency = answers < 0.5 ? 0 : s.latencySum.at(now, kHealthMemory) / answers;
       s.pressure = aims[id] > 0 ? s.latency / (aims[id] / requests[id] * kSecond) : 0;
@@ -232,42 +192,24 @@
     }
   }
 
-  // Zones whose proxies meet failure at most servers: the cause lies with the zone or is shared.
-  std::set<int> blindZones() const {
-    std::map<int, std::vector<double>> shares;
-    for (const auto& [id, s] : servers) {
-      for (const auto& [zone, met] : s.met) {
-        const double tries = met.tries.at(now, kHealthMemory);
-        if (tries >= 1) shares[zone].push_back(met.failed.at(now, kHealthMemory) / tries);
-      }
-    }
-    std::set<int> blind;
-    for (auto& [zone, list] : shares) {
-      std::sort(list.begin(), list.end());
-      if (list[list.size() / 2] > kSharedBadShare) blind.insert(zone);
-    }
-    return blind;
-  }
-
   // Guards against whatever makes a server useless while it is listed: quick errors, refused or silent
   // connections. Judged by answers against tries where most others do well. A slow server that refuses is
   // overloaded, not broken: moving its load elsewhere would only pass that on.
   void judgeHealth() {
-    const std::set<int> blind = blindZones();
     Tally all;
     for (const auto& [id, s] : servers) {
-      const Tally own = tallyOf(s, blind);
-      all.tries += own.tries;
-      all.failed += own.failed;
+      all.tries += s.tally.tries;
+      all.failed += s.tally.failed;
     }
     for (auto& [id, s] : servers) {
       if (s.failing && now >= s.failingUntil) {
         s.failing = false;
-        s.met.clear();
+        s.tries = s.failed = Fading();
+        s.tally = {};
         s.changedAt = now;
         log("try " + id + " again");
       }
-      const Tally own = tallyOf(s, blind);
+      const Tally own = s.tally;
       if (!s.usable() || own.tries < kFewTries || own.badShare() < kBadShare) continue;
       const Tally others{all.tries - own.tries, all.failed - own.failed};
       if (own.badShare() < kWorseThanFleet * others.badShare()) continue;
@@ -736,9 +678,8 @@
     if (startedWithin(s, kReportsLag + r.window)) return;  // of its former life, or too near it
     const double tries = static_cast<double>(r.tries);
     const double failed = static_cast<double>(std::min(r.failed, r.tries));
-    s.allTries.add(now, tries, kDemandMemory);
-    s.met[r.zone].tries.add(now, tries, kHealthMemory);
-    s.met[r.zone].failed.add(now, failed, kHealthMemory);
+    s.tries.add(now, tries, kHealthMemory);
+    s.failed.add(now, failed, kHealthMemory);
     s.reportedAt = now;
     if (r.latency <= 0 || tries <= failed) return;
     s.answers.add(now, tries - failed, kHealthMemory);
@@ -762,7 +703,7 @@
     s.givenAt = s.movedAt = now;
     s.demand.resize(cfg.classes.size());
     s.levels.assign(cfg.classes.size(), 1);
-    s.sentLevels = s.pastLevels = s.levels;
+    s.sentLevels = s.levels;
   }
 
   // The store's tables are taken as they are.
--- a/src/state.h
+++ b/src/state.h
@@ -52,17 +52,12 @@
   double badShare() const { return tries > 0 ? failed / tries : 0; }
 };
 
-struct Met {  // by the proxies of one zone
-  Fading tries, failed;
-};
-
 struct Server {
   ServerEntry entry;
   bool listed = false;   // in the list as it stands
   Micros changedAt = 0;  // when it last started or was taken back, as far as seen; 0: never
 
-  std::map<int, Met> met;  // by zone of the proxies
-  Fading answers, latencySum, allTries;
+  Fading tries, failed, answers, latencySum;
   std::deque<std::pair<Micros, double>> latencies;  // of a span, for the lowest
   Micros reportedAt = 0;
 
@@ -100,11 +95,11 @@
 using Lines = std::map<ServerId, double>;
 
 struct Slice {
-  Lines want, sent;            // the table as decided, and as last ordered or read from the store
-  ServerId home;               // the line that carries the slice
-  ServerId firstHome;          // where it was when this supervisor got it
-  std::vector<Fading> demand;  // by class
-  std::vector<double> levels, sentLevels, pastLevels;  // by class
+  Lines want, sent;                        // the table as decided, and as last ordered or read from the store
+  ServerId home;                           // the line that carries the slice
+  ServerId firstHome;                      // where it was when this supervisor got it
+  std::vector<Fading> demand;              // by class
+  std::vector<double> levels, sentLevels;  // by class
   Micros movedAt = 0, givenAt = 0;
   // oneOwner: after the old owner's line is ordered away, the proxies that have not yet confirmed.
   std::set<ProxyId> unsettled;
