--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -289,6 +289,8 @@
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
   void refill() {
     const double mean = meanLoad();
+    // Just started itself: it cannot know yet what servers bear.
+    if (heardFrom == 0 || now - heardFrom < kSettledStart) return;
     for (auto& [id, r] : servers) {
       if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery || startedWithin(r, kRefillAge))
         continue;
@@ -456,7 +458,7 @@
     // A supervisor that has just started knows no densities yet; until then only the passing cut acts.
     const bool young = heardFrom == 0 || now - heardFrom < kDemandMemory / 2;
     std::size_t open = 0, bound = 0;
-    double taken = 0, weights = 0;
+    double taken = 0, offered = 0, weights = 0;
     Tally all;
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s)) continue;
@@ -486,6 +488,7 @@
       all.tries += s.tally.tries;
       all.failed += s.tally.failed;
       taken += s.admitted * (s.heat + s.hidden);
+      offered += s.heat + s.hidden;
       weights += listedWeight(s);
     }
     // Under strain it rises slowly: what a server gets that was warm or let off just now is not yet what it
@@ -501,6 +504,8 @@
       if (strained && isCold(s) && density > allowed)
         s.allowance = s.pressedAt = usual;  // from where it goes on when warm
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
+      // Nor does a cold server let in a larger share than the warm ones do while work is short.
+      if (strained && isCold(s) && offered > 0) s.admitted = std::min(s.admitted, taken / offered);
     }
     setLevels();
   }
@@ -532,9 +537,11 @@
     }
   }
 
-  // A further try never goes beyond what cannot take effect twice, and under strain it only adds to the load.
+  // A further try never goes beyond what cannot take effect twice. After any failure it also repeats what
+  // timed out: under strain, or where the time-out lies beyond the aim, that only adds to the load.
   SecondTry secondTry(const RequestClass& c) const {
-    return c.effect == Effect::Repeatable && !strained ? SecondTry::AfterAnyFailure : SecondTry::AfterProof;
+    const bool any = c.effect == Effect::Repeatable && cfg.tryAims < 1 && !strained;
+    return any ? SecondTry::AfterAnyFailure : SecondTry::AfterProof;
   }
 
   // ---- Pacing ----
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -374,6 +374,46 @@
   for (int t = 0; t < 12; ++t) EXPECT_LT((s.levels[{t, 0}]), 0.5) << t;
 }
 
+// A supervisor back from a crash in overload gave a cold server whole slices, unlimited, as nothing had been
+// learned.
+TEST(Placement, ASupervisorJustStartedDoesNotRefill) {
+  Scene s;
+  s.start(16);
+  s.run(8 * kSecond);
+  s.tell("s_b", ServerState::Ready, s.now - 500 * kMs);
+  s.run(2 * kSecond);
+  ListNews old = s.news(ListMode::Cached);
+  for (ServerEntry& e : old.entries) e.startedAt = 0;  // it does not know of the start yet
+  s.restartWith(old);
+  s.feed({s.news(ListMode::Full)});
+  s.run(8 * kSecond);
+  EXPECT_EQ(s.homesAt("s_b"), 0);
+  s.run(30 * kSecond);
+  EXPECT_GT(s.homesAt("s_b"), 0);
+}
+
+TEST(Admission, UnderStrainAColdServerLetsInNoLargerShareThanTheWarm) {
+  Scene s(plainSettings(), 4);
+  s.start(16);
+  s.run(8 * kSecond);
+  for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+  s.run(15 * kSecond);
+  s.tell("s_e", ServerState::Ready, s.now - 6 * kSecond);
+  s.latency["s_e"] = 100 * kMs;
+  s.run(4 * kSecond);
+  double warm = 0;
+  for (int t = 0; t < 16; ++t) {
+    if (s.home(t) != "s_e") warm = std::max(warm, s.levels[{t, 0}]);
+  }
+  EXPECT_LT(warm, 1);
+  ASSERT_GT(s.homesAt("s_e"), 0);
+  for (int t = 0; t < 16; ++t) {
+    if (s.home(t) == "s_e") {
+      EXPECT_LE((s.levels[{t, 0}]), warm + 0.1) << t;
+    }
+  }
+}
+
 // In an overloaded deploy the last warm servers went and one that had just turned warm, with no allowance of
 // its own, was taken as the measure of what a server bears: cold ones were let in all at once and fell over.
 TEST(Admission, UnderStrainWhatColdServersMayTakeDoesNotJump) {
@@ -414,6 +454,17 @@
   }
 }
 
+// Costly requests that time out beyond the aim were sent again elsewhere: too late to count, and twice the
+// work.
+TEST(Retries, OnlyAfterProofWhereTheTimeOutLiesBeyondTheAim) {
+  Settings settings = plainSettings();
+  settings.tryAims = 1.2;
+  Scene s(settings);
+  s.start(12);
+  s.run(6 * kSecond);
+  EXPECT_EQ((s.tries[{kAllTables, 0}]), SecondTry::AfterProof);
+}
+
 TEST(Retries, UnderStrainOnlyAfterProof) {
   Scene s;
   s.start(12);
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -28,6 +28,7 @@
   once.write = true;
   s.classes = {low, high, once};
   s.slices = 24;
+  s.tryAims = 0.8;
   s.linesPerSecond = 30000;
   s.linesPerMessage = 8;
   s.linesWaitingMax = 30000;
