--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,7 +35,7 @@
 constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
 constexpr double kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
 // Admission: pressure is heard latency as a share of the aim.
-constexpr double kOverloaded = 0.55, kRelaxed = 0.35, kRefusing = 0.2, kStep = 0.1;
+constexpr double kOverloaded = 0.55, kRelaxed = 0.3, kRefusing = 0.2, kStep = 0.1;
 constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4;
 constexpr double kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
