--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -577,7 +577,8 @@
     for (const auto& [id, s] : servers) {
       const bool stay = s.withdrawn && startedWithin(s, kSettledStart);
       const bool wanted = allWeight > 0 && listFresh && (!s.usable() || stay);
-      if (cfg.slices == 0 && wanted != s.withdrawn) orders.push_back(Withdraw{id, wanted});
+      const bool again = wanted && !rulesSent;  // for a proxy that joined since
+      if (cfg.slices == 0 && (wanted != s.withdrawn || again)) orders.push_back(Withdraw{id, wanted});
     }
     return orders;
   }
@@ -646,6 +647,7 @@
       if (news.mode != ListMode::Cached && e.startedAt > before && e.state == ServerState::Ready) {
         Server fresh;
         fresh.changedAt = fresh.movedAt = now;
+        fresh.withdrawn = s.withdrawn;
         std::swap(s, fresh);
       }
       s.entry = e;
@@ -661,7 +663,6 @@
   void on(const ProxyJoined& e) {
     proxies.insert(e.proxy);
     rulesSent = false;  // standing orders ride on later messages only
-    for (auto& [id, s] : servers) s.withdrawn = s.withdrawn && cfg.slices > 0;
   }
 
   void on(const ProxyLeft& e) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -586,5 +586,56 @@
   EXPECT_EQ(s.tables, before);
 }
 
+// ---- One owner, and tables without slices ----
+
+// The old owner's line goes first; the new owner's waits for every proxy's word and for the writes in hand.
+TEST(OneOwner, TheNewOwnerComesOnlyWhenTheOldOnesWritesAreSettled) {
+  Settings settings = plainSettings();
+  settings.oneOwner = true;
+  settings.writeSettle = 20 * kMs;
+  settings.lease = 1500 * kMs;
+  Scene s(settings);
+  s.start(8);
+  s.run(8 * kSecond);
+  int mark = -1;
+  for (const Action& a : s.tell("s_b", ServerState::Draining)) {
+    if (const auto* m = std::get_if<Mark>(&a)) mark = m->mark;
+  }
+  ASSERT_GE(mark, 0);
+  EXPECT_TRUE(s.tables[1].empty());
+  s.feed({OrderApplied{0, mark, kMs}, OrderApplied{1, mark, kMs}});
+  s.run(kSecond);
+  EXPECT_TRUE(s.tables[1].empty()) << "one proxy has not confirmed";
+  s.feed({ProxyLeft{2}});
+  s.run(kSecond);
+  EXPECT_TRUE(s.tables[1].empty()) << "the lost proxy may still write under its lease";
+  s.run(kSecond);
+  EXPECT_EQ(s.tables[1].size(), 1u);
+  EXPECT_NE(s.home(1), "s_b");
+}
+
+TEST(WithoutSlices, ServersThatDrainAreWithdrawnAndComeBack) {
+  Settings settings = plainSettings();
+  settings.slices = 0;
+  Scene s(settings);
+  s.start(0);
+  s.run(2 * kSecond);
+  auto withdrawn = [](const std::vector<Action>& out, const std::string& server, bool outOf) {
+    return std::any_of(out.begin(), out.end(), [&](const Action& a) {
+      const auto* w = std::get_if<Withdraw>(&a);
+      return w != nullptr && w->server == server && w->out == outOf;
+    });
+  };
+  EXPECT_TRUE(withdrawn(s.tell("s_b", ServerState::Draining), "s_b", true));
+  EXPECT_FALSE(withdrawn(s.tell("s_b", ServerState::Ready, s.now), "s_b", false))
+      << "it has only just started";
+  bool back = false;
+  for (int i = 0; i < 60 && !back; ++i) {
+    s.now += 250 * kMs;
+    back = withdrawn(s.feed({TimerFired{"sweep"}}), "s_b", false);
+  }
+  EXPECT_TRUE(back);
+}
+
 }  // namespace
 }  // namespace peargrade
