--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -22,7 +22,7 @@
 constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kStillAnswers = 0.2;
 constexpr Micros kFailingHold = 8 * kSecond;
 // Placement.
-constexpr double kColdDiscount = 0.85;  // a cold server has cold keys too
+constexpr double kColdDiscount = 0.85, kColdStrained = 0.7;  // a cold server has cold keys too
 constexpr double kNearlyCoolest = 1.1;  // among these the seed picks, so that supervisors differ
 constexpr Micros kRollingSpan = 10 * kSecond;
 constexpr double kNextToGo = 1.3;
@@ -119,7 +119,7 @@
   double ramp(const Server& s) const {
     if (!isCold(s)) return 1;
     const double age = std::max(0.0, static_cast<double>(now - s.entry.startedAt) / cfg.warmAfter);
-    return kColdDiscount * (cfg.startCapacity + (1 - cfg.startCapacity) * age);
+    return (strained ? kColdStrained : kColdDiscount) * (cfg.startCapacity + (1 - cfg.startCapacity) * age);
   }
 
   // Projected heat per unit of usable weight. Peers are taken to send a changed server as much as this one
