--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -438,6 +438,28 @@
   EXPECT_GE(cold, 1);
 }
 
+// In an overloaded deploy a cold server was given as many slices as in a calm one, and fell over when a zone
+// went.
+TEST(Placement, UnderStrainAColdServerIsGivenFewerSlices) {
+  int given[2];
+  for (const bool strained : {false, true}) {
+    Settings settings = plainSettings();
+    settings.slices = 120;
+    Scene s(settings, 6);
+    s.start(120);
+    s.run(10 * kSecond);
+    if (strained) {
+      for (int i = 0; i < 6; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+    }
+    s.run(8 * kSecond);
+    s.tell("s_z", ServerState::Ready, s.now - 4 * kSecond);
+    for (int i = 0; i < 4; ++i) s.tell(Scene::name(i), ServerState::Gone);
+    given[strained] = s.homesAt("s_z");
+  }
+  EXPECT_LT(given[1], given[0]);
+  EXPECT_GT(given[1], 0);
+}
+
 TEST(Retries, NeverBeyondProofForWhatMayTakeEffectTwice) {
   Settings settings = plainSettings();
   settings.classes[1].effect = Effect::ByKey;
