Fill messages from an order of urgency within the channel's room

Now drains and bare slices go first, then evacuations, levels, moves and standbys, each within its share of the lines that may wait; one level for all slices stands in where their own do not fit a message. Guards against any burst of changes; harms if the channel is far slower than half its pace.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,9 +42,12 @@
 constexpr double kUsualRise = 0.1;          // a second
 constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
 // Pacing.
-constexpr double kRoutineShare = 0.5;  // of the message limit; the rest is for drains and failures
-constexpr int kUrgentReserve = 2;
-constexpr double kQueueShare = 0.5, kSlowChannel = 2;  // the channel may be slower than it says
+// By urgency: the share of the message limit and of the lines that may wait; the rest is kept for what is
+// more urgent.
+enum Urgency { kMust, kEvacuation, kLevel, kMove, kStandby };
+constexpr double kMessageShare[] = {0.9, 0.8, 0.6, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
+constexpr double kSlowChannel = 2;     // the channel may be slower than it says
+constexpr double kGatherShare = 0.25;  // of what a message may hold: what must go waits for so much room
 constexpr Micros kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
 double seconds(Micros span) { return static_cast<double>(span) / kSecond; }
@@ -52,6 +55,13 @@
 }  // namespace
 
 struct Director::State {
+  // Orders that go together, and where they stand in the order of urgency.
+  struct Piece {
+    Urgency urgency;
+    double order;
+    TableId table;
+    std::vector<Action> orders;
+  };
   using ServerRef = std::pair<const ServerId, Server>;
 
   Settings cfg;
@@ -68,14 +78,17 @@
   double meanSlice = 1, peers = 1;  // heat of a mean slice; the whole fleet's heat against that of own slices
   double usual = 0;                 // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
-  bool urgent = false;          // an order that waits serves a drain, a failure or a start
-  std::deque<Micros> messages;  // when replies that write to proxies went out
-  double queued = 0;            // lines that wait in the channel, as reckoned
+  std::vector<double> fleetLevels, fleetSent;  // by class, for all slices; a slice's own may be lower
+  std::deque<Micros> messages;                 // when replies that write to proxies went out
+  double queued = 0;                           // lines that wait in the channel, as reckoned
   Micros queuedAt = 0, routineAt = 0, usualAt = 0;
   Micros heardFrom = 0;  // the first reports of demand begin here
   int lastMark = 0;
 
-  State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {}
+  State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {
+    fleetLevels.assign(cfg.classes.size(), 1);
+    fleetSent = fleetLevels;
+  }
 
   // ---- Estimates: heat, latency, health ----
 
@@ -169,8 +182,9 @@
       ++mine;
       for (std::size_t c = 0; c < s.demand.size();
            ++c) {  // of what is let in: refused classes answer nothing
-        requests[s.home] += s.sentLevels[c] * rate(s, c);
-        aims[s.home] += s.sentLevels[c] * rate(s, c) * work(c);
+        const double let = std::min(s.sentLevels[c], fleetSent[c]) * rate(s, c);
+        requests[s.home] += let;
+        aims[s.home] += let * work(c);
       }
     }
     for (auto& [id, s] : servers) {
@@ -281,7 +295,7 @@
         to = coolest(h, [&](const ServerRef& v) { return v.first != s.home && v.second.ready(); });
       if (to.empty()) continue;
       move(t, s, to, whyLeave(s));
-      urgent = true;
+      s.leftHome = true;
     }
   }
 
@@ -333,7 +347,6 @@
           backed[line->first] += heatOf(s);
           ++line;
         } else {
-          urgent = urgent || !known || !v->second.ready();
           line = s.want.erase(line);
         }
       }
@@ -524,15 +537,40 @@
     std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
       return cfg.classes[a].worth / work(a) < cfg.classes[b].worth / work(b);
     });
+    std::map<ServerId, std::vector<double>> wanted;
+    std::vector<double> mean(n, 0);
+    double exceptions = 0;
+    for (auto& [t, s] : slices) {
+      std::vector<double>& level = wanted[s.home];
+      if (level.empty()) {
+        double cut = (1 - servers[s.home].admitted) * all;
+        level.assign(n, 1);
+        for (std::size_t c : order) {
+          if (cut <= 0 || demand[c] <= 0) continue;
+          const double take = std::min(cut, (1 - kClassLeast) * demand[c]);
+          level[c] = std::round((1 - take / demand[c]) / kLevelGrain) * kLevelGrain;
+          cut -= take;
+        }
+      }
+      for (std::size_t c = 0; c < n; ++c) {
+        exceptions += level[c] < 1;
+        if (demand[c] > 0) mean[c] += level[c] * rate(s, c) * work(c) / demand[c];
+      }
+    }
+    // Departure: a level for each slice costs a line each. Where more are needed than a message holds, one
+    // level for all slices is their mean, and slices keep a level of their own where it is lower.
+    const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max<std::size_t>(1, proxies.size());
+    const bool oneForAll = exceptions > held - cfg.linesPerMessage && cfg.levelUnit == LevelUnit::Share;
+    for (std::size_t c = 0; c < n; ++c) {
+      const double level = oneForAll ? std::round(mean[c] / kLevelGrain) * kLevelGrain : 1;
+      if (level >= 1 || std::abs(level - fleetLevels[c]) >= kLevelStep) fleetLevels[c] = level;
+    }
     for (auto& [t, s] : slices) {
-      double cut = (1 - servers[s.home].admitted) * all;
-      s.levels.assign(n, 1);
-      for (std::size_t c : order) {
-        if (cut <= 0 || demand[c] <= 0) continue;
-        const double take = std::min(cut, (1 - kClassLeast) * demand[c]);
-        const double level = std::round((1 - take / demand[c]) / kLevelGrain) * kLevelGrain;
-        s.levels[c] = level < 1 && std::abs(level - s.sentLevels[c]) < kLevelStep ? s.sentLevels[c] : level;
-        cut -= take;
+      for (std::size_t c = 0; c < n; ++c) {
+        const double now = std::min(s.sentLevels[c], fleetLevels[c]);
+        const double level = std::min(wanted[s.home][c], fleetLevels[c]);
+        const bool same = std::abs(level - now) < kLevelStep && (level < 1 || now == 1);
+        s.levels[c] = same ? s.sentLevels[c] : level < fleetLevels[c] ? level : 1;
       }
     }
   }
@@ -552,13 +590,18 @@
     return std::max(0.0, queued - seconds(now - queuedAt) * cfg.linesPerSecond / kSlowChannel);
   }
 
-  bool mayWrite(double cost) {
-    if (linesQueued() > 0 && linesQueued() + cost > cfg.linesWaitingMax * kQueueShare) return false;
+  // Lines that a message to each proxy may hold now, for orders of an urgency; levels for all ride along.
+  double room(Urgency urgency) const {
+    const double head = cfg.linesPerMessage + static_cast<double>(cfg.classes.size());
+    const double lines = cfg.linesWaitingMax * kQueueShare[urgency] - linesQueued();
+    return lines / std::max(1.0, static_cast<double>(proxies.size())) - head;
+  }
+
+  bool mayWrite(Urgency urgency) {
     while (!messages.empty() && messages.front() <= now - cfg.messagesSpan) messages.pop_front();
-    const double most =
-        urgent ? cfg.messagesPerProxyMax - kUrgentReserve : kRoutineShare * cfg.messagesPerProxyMax;
+    const double most = kMessageShare[urgency] * cfg.messagesPerProxyMax;
     if (cfg.messagesPerProxyMax > 0 && static_cast<double>(messages.size()) >= most) return false;
-    return urgent || now - routineAt >= kRoutineEvery;
+    return urgency <= kEvacuation || now - routineAt >= kRoutineEvery;
   }
 
   // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
@@ -583,48 +626,100 @@
     return orders;
   }
 
-  // Sends what differs between the tables as decided and as sent, gathered into one message for each proxy.
+  // What a slice's changed lines serve: proxies that have nowhere to go or go where they must not come first.
+  Urgency urgencyOf(const Slice& s) const {
+    bool must = true, home = s.sent.count(s.home) == 0 || s.sent.at(s.home) != s.want.at(s.home);
+    for (const auto& [id, w] : s.sent) must = must && !reachable(id);
+    for (const auto& [id, w] : s.sent) must = must || (s.want.count(id) == 0 && !reachable(id));
+    if (must) return kMust;
+    return !home ? kStandby : s.leftHome ? kEvacuation : kMove;
+  }
+  bool reachable(const ServerId& id) const {
+    const auto v = servers.find(id);
+    return v != servers.end() ? v->second.ready() : !listFresh;
+  }
+
+  // Guards against a full channel, whatever fills it: each message is filled from one order of urgency, the
+  // hottest slices first, as far as there is room; what is left waits, and a later decision replaces it.
   void flush() {
-    std::vector<Action> orders = withdrawals();
-    if (!rulesSent || strained != strainedSent) {
-      std::map<SecondTry, unsigned> masks;
-      for (std::size_t c = 0; c < cfg.classes.size(); ++c) masks[secondTry(cfg.classes[c])] |= 1u << c;
-      for (const auto& [how, mask] : masks) orders.push_back(Admit{kAllTables, mask, 1, how});
-    }
+    if (proxies.empty()) return;
+    std::vector<Piece> pieces;
+    if (std::vector<Action> orders = withdrawals(); !orders.empty())
+      pieces.push_back({kMust, 0, kAllTables, std::move(orders)});
     for (auto& [t, s] : slices) {
-      const std::vector<Action> lines = cfg.oneOwner ? handOver(t, s) : s.changedLines(t);
-      orders.insert(orders.end(), lines.begin(), lines.end());
+      if (s.sent != s.want) {
+        std::vector<Action> lines = cfg.oneOwner ? handOver(t, s) : s.changedLines(t);
+        if (!lines.empty()) pieces.push_back({urgencyOf(s), -heatOf(s), t, std::move(lines)});
+      }
+      std::vector<Action> levels;
       for (std::size_t c = 0; c < s.levels.size() && cfg.levelUnit == LevelUnit::Share; ++c) {
-        if (s.levels[c] == s.sentLevels[c]) continue;
-        orders.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
+        if (s.levels[c] != s.sentLevels[c])
+          levels.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
       }
-    }
-    const double cost =
-        static_cast<double>(proxies.size()) * (cfg.linesPerMessage + static_cast<double>(orders.size()));
-    if (orders.empty() || proxies.empty() || !mayWrite(cost)) return;
+      if (!levels.empty()) pieces.push_back({kLevel, -heatOf(s), t, std::move(levels)});
+    }
+    if (!rulesSent || strained != strainedSent || fleetLevels != fleetSent) {
+      std::map<std::pair<SecondTry, double>, unsigned> masks;
+      for (std::size_t c = 0; c < cfg.classes.size(); ++c)
+        masks[{secondTry(cfg.classes[c]), fleetLevels[c]}] |= 1u << c;
+      std::vector<Action> rules;
+      for (const auto& [how, mask] : masks) rules.push_back(Admit{kAllTables, mask, how.second, how.first});
+      pieces.push_back({kLevel, -allHeat, kAllTables, std::move(rules)});
+    }
+    if (pieces.empty()) return;
+    std::sort(pieces.begin(), pieces.end(), [](const Piece& a, const Piece& b) {
+      return std::tie(a.urgency, a.order, a.table) < std::tie(b.urgency, b.order, b.table);
+    });
+    const Urgency first = pieces.front().urgency;
+    if (!mayWrite(first)) return;
+    double lines = 0, wanted = 0;
+    for (const Piece& p : pieces) wanted += p.urgency == first ? static_cast<double>(p.orders.size()) : 0;
+    const double whole = cfg.linesWaitingMax * kQueueShare[first] / static_cast<double>(proxies.size());
+    if (linesQueued() > 0 && room(first) < std::min(wanted, kGatherShare * whole)) return;
+    std::vector<Action> orders;
+    for (Piece& p : pieces) {
+      const double more = static_cast<double>(p.orders.size());
+      if (lines + more > room(p.urgency) && (lines > 0 || linesQueued() > 0)) break;
+      lines += more;
+      for (const Action& order : p.orders) note(order);
+      orders.insert(orders.end(), p.orders.begin(), p.orders.end());
+    }
+    if (orders.empty()) return;
     if (cfg.oneOwner) orders.push_back(Mark{lastMark = (lastMark + 1) % 65536, true});
-    for (const Action& order : orders) {
-      if (const auto* line = std::get_if<SetLine>(&order)) sent(*line);
-      if (const auto* pull = std::get_if<Withdraw>(&order)) servers[pull->server].withdrawn = pull->out;
-    }
-    for (auto& [t, s] : slices) s.sentLevels = s.levels;
-    rulesSent = true;
-    strainedSent = strained;
-    queued = linesQueued() + cost;
+    const double head = cfg.linesPerMessage + static_cast<double>(cfg.classes.size());
+    queued = linesQueued() + static_cast<double>(proxies.size()) * (head + lines);
     queuedAt = routineAt = now;
     messages.push_back(now);
-    urgent = false;
     out.insert(out.end(), orders.begin(), orders.end());
   }
 
+  // What was ordered is taken as done.
+  void note(const Action& order) {
+    if (const auto* line = std::get_if<SetLine>(&order)) sent(*line);
+    if (const auto* pull = std::get_if<Withdraw>(&order)) servers[pull->server].withdrawn = pull->out;
+    const auto* admit = std::get_if<Admit>(&order);
+    if (admit == nullptr) return;
+    if (admit->table == kAllTables) {
+      rulesSent = true;
+      strainedSent = strained;
+      fleetSent = fleetLevels;
+      return;
+    }
+    Slice& s = slices[admit->table];
+    for (std::size_t c = 0; c < s.levels.size(); ++c) {
+      if ((admit->classMask & (1u << c)) != 0) s.sentLevels[c] = s.levels[c];
+    }
+  }
+
   void sent(const SetLine& line) {
     Slice& s = slices[line.table];
+    s.leftHome = s.leftHome && line.server != s.home;
     if (line.weight > 0) {
       s.sent[line.server] = line.weight;
     } else {
       s.sent.erase(line.server);
       if (cfg.oneOwner) s.unsettled = proxies;
-      s.clearedBy = lastMark;
+      s.clearedBy = (lastMark + 1) % 65536;
     }
   }
 
--- a/src/state.h
+++ b/src/state.h
@@ -101,6 +101,7 @@
   std::vector<Fading> demand;              // by class
   std::vector<double> levels, sentLevels;  // by class
   Micros movedAt = 0, givenAt = 0;
+  bool leftHome = false;  // off a server that could not keep it, and that is not ordered yet
   // oneOwner: after the old owner's line is ordered away, the proxies that have not yet confirmed.
   std::set<ProxyId> unsettled;
   int clearedBy = -1;
