Weigh lists against answers; withdraw what leaves; test the channel at full size

Wrong lists: where gone is advice, a server that the list drops stays until its answers stop too (80 of 100 tries fail, or 40 and three times the others); a listed server that never answered is probed, or gets one slice on trial, and counts for nothing until then. Guards also against restarted proxies that read old tables; could harm if a withdrawal is lost with its stream, so joins repeat them.

--- a/include/peargrade/director.h
+++ b/include/peargrade/director.h
@@ -57,6 +57,7 @@
   Micros writeSettle = 0;  // oneOwner: a write taken in is finished within this time
   Micros bareMax = 0;      // rule: a slice may have no usable line for so long
   Micros drainGrace = 0;
+  bool goneIsAdvice = false;  // rule: only a server seen as draining must be left, not one the list drops
   Micros askWithin = 0;       // listOnRequest: the list must have been asked for within this time
   double startCapacity = 1;   // a server starts at this share of its capacity
   Micros warmAfter = 0;       // and is warm after this time
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,6 +27,8 @@
 constexpr Micros kRollingSpan = 10 * kSecond;
 constexpr double kNextToGo = 1.3;
 constexpr double kStandbyShare = 0.001;
+constexpr double kTrialShare = 0.05;
+constexpr Micros kProbeFirst = 500 * kMs;
 constexpr double kRefillBelow = 0.8;
 constexpr Micros kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond, kTargetAge = 2 * kSecond;
 // The hot rule of the design.
@@ -46,7 +48,8 @@
 // more urgent.
 enum Urgency { kMust, kEvacuation, kLevel, kMove, kStandby };
 constexpr double kMessageShare[] = {0.9, 0.8, 0.6, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
-constexpr double kSlowChannel = 2;     // the channel may be slower than it says
+constexpr double kSlowChannel = 2;  // the channel may be slower than it says
+constexpr Micros kGraceMargin = 300 * kMs;
 constexpr double kGatherShare = 0.25;  // of what a message may hold: what must go waits for so much room
 constexpr Micros kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
@@ -224,6 +227,9 @@
         log("try " + id + " again");
       }
       const Tally own = s.tally;
+      s.leftAt = s.ready() ? 0 : s.leftAt > 0 ? s.leftAt : now;
+      // A list may be wrong: what it drops stays, as far as nothing binds, until its answers stop as well.
+      s.believed = cfg.goneIsAdvice && own.tries > 0 && own.badShare() < 1 - kStillAnswers && !s.failing;
       if (!s.usable() || own.tries < kFewTries || own.badShare() < kBadShare) continue;
       const Tally others{all.tries - own.tries, all.failed - own.failed};
       if (own.badShare() < kWorseThanFleet * others.badShare()) continue;
@@ -270,8 +276,8 @@
   const char* whyLeave(const Slice& s) const {
     const auto it = servers.find(s.home);
     if (s.home.empty()) return "unhomed";
-    if (it == servers.end() || !it->second.listed) return listFresh ? "gone" : nullptr;
-    if (it->second.entry.state == ServerState::Draining) return "draining";
+    if (it != servers.end() && it->second.entry.state == ServerState::Draining) return "draining";
+    if (it == servers.end() || !it->second.ready()) return listFresh ? "gone" : nullptr;
     if (it->second.failing) return "failing";
     return isCold(it->second) && s.movedAt < it->second.entry.startedAt ? "restarted" : nullptr;
   }
@@ -289,7 +295,8 @@
       Slice& s = slices[t];
       const double h = heatOf(s);
       ServerId to = coolest(h, [&](const ServerRef& v) {
-        return v.first != s.home && v.second.usable() && !startedWithin(v.second, kTargetAge);
+        const bool open = v.second.usable() || mayTry(v.second);
+        return v.first != s.home && open && !startedWithin(v.second, kTargetAge);
       });
       if (to.empty())
         to = coolest(h, [&](const ServerRef& v) { return v.first != s.home && v.second.ready(); });
@@ -299,6 +306,22 @@
     }
   }
 
+  // Guards against listed servers that are none: until one has answered it counts for nothing. It is probed,
+  // or where that is not allowed it is given one slice, while few slices are on trial.
+  bool mayTry(const Server& s) const {
+    if (cfg.probesAllowed || s.proved || !s.ready() || s.failing || s.heat > 0) return false;
+    std::size_t trials = 0;
+    for (const auto& [id, v] : servers) trials += !v.proved && v.heat > 0;
+    return trials <= kTrialShare * slices.size();
+  }
+  void probe() {
+    for (auto& [id, s] : servers) {
+      if (!cfg.probesAllowed || s.proved || !s.ready() || now < s.probeAt) continue;
+      s.probeAt = now + std::max(kProbeFirst, now - s.seenAt);
+      out.push_back(Probe{id});
+    }
+  }
+
   // Departure: the design leaves a returned server idle until another is hot. One that changed and stands
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
   void refill() {
@@ -343,6 +366,7 @@
           ++line;
         } else if (known && v->second.usable() && !isCold(v->second)) {
           has = true;
+          line->second = std::min(line->second, s.want[s.home] * kStandbyShare);
           ++pairs[{s.home, line->first}];
           backed[line->first] += heatOf(s);
           ++line;
@@ -607,36 +631,62 @@
   // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
   // owner's waits until every proxy has confirmed (or has lost its lease) and the writes in hand are done.
   std::vector<Action> handOver(TableId t, Slice& s) {
+    if (!cfg.oneOwner || s.sent == s.want) return {};
     if (s.sent.empty())
       return now >= s.freeAt && s.unsettled.empty() ? s.changedLines(t) : std::vector<Action>{};
-    if (s.sent == s.want) return {};
     return {SetLine{t, s.sent.begin()->first, 0}};
   }
 
-  // Without slices proxies keep their standing tables; servers that must not be sent to are withdrawn from
-  // them.
-  std::vector<Action> withdrawals() {
+  bool leaving(const Server& s) const { return s.failing || (listFresh && !s.ready()); }
+  bool open(const ServerId& id) const {
+    const auto v = servers.find(id);
+    return v != servers.end() && !v->second.withdrawn && !leaving(v->second);
+  }
+
+  // Departure: what leaves is withdrawn from all tables by one order, once its slices have another line or
+  // the grace runs out; its lines are tidied away later and before it is let in again.
+  std::vector<Action> withdrawals() const {
+    std::set<ServerId> held, needed, stale;
+    for (const auto& [t, s] : slices) {
+      bool covered = false;
+      for (const auto& [id, w] : s.sent) covered = covered || open(id);
+      for (const auto& [id, w] : s.sent) {
+        held.insert(id);
+        if (!covered) needed.insert(id);
+        if (s.want.count(id) == 0) stale.insert(id);
+      }
+    }
+    const Micros way = cfg.orderDelayMax + static_cast<Micros>(linesQueued() / cfg.linesPerSecond * kSecond);
     std::vector<Action> orders;
     for (const auto& [id, s] : servers) {
-      const bool stay = s.withdrawn && startedWithin(s, kSettledStart);
-      const bool wanted = allWeight > 0 && listFresh && (!s.usable() || stay);
+      const bool leave = leaving(s) && !cfg.oneOwner && (cfg.slices > 0 ? held.count(id) > 0 : allWeight > 0);
+      const bool due = !s.ready() && now + way + kGraceMargin > s.leftAt + cfg.drainGrace;
+      const bool stay = cfg.slices > 0 ? stale.count(id) > 0 : startedWithin(s, kSettledStart);
+      const bool wanted = s.withdrawn ? leave || stay : leave && (due || needed.count(id) == 0);
       const bool again = wanted && !rulesSent;  // for a proxy that joined since
-      if (cfg.slices == 0 && (wanted != s.withdrawn || again)) orders.push_back(Withdraw{id, wanted});
+      if (wanted != s.withdrawn || again) orders.push_back(Withdraw{id, wanted});
     }
     return orders;
   }
 
-  // What a slice's changed lines serve: proxies that have nowhere to go or go where they must not come first.
-  Urgency urgencyOf(const Slice& s) const {
-    bool must = true, home = s.sent.count(s.home) == 0 || s.sent.at(s.home) != s.want.at(s.home);
-    for (const auto& [id, w] : s.sent) must = must && !reachable(id);
-    for (const auto& [id, w] : s.sent) must = must || (s.want.count(id) == 0 && !reachable(id));
-    if (must) return kMust;
-    return !home ? kStandby : s.leftHome ? kEvacuation : kMove;
-  }
-  bool reachable(const ServerId& id) const {
-    const auto v = servers.find(id);
-    return v != servers.end() ? v->second.ready() : !listFresh;
+  // A slice's changed lines: to its home and off servers that are still open, where a proxy has nowhere to go
+  // first of all; standbys, and lines to what is withdrawn, come later.
+  void addLines(TableId t, const Slice& s, std::vector<Piece>& pieces) const {
+    Piece home{s.leftHome ? kEvacuation : kMove, -heatOf(s), t, {}}, rest{kStandby, -heatOf(s), t, {}};
+    bool bare = true;
+    for (const auto& [id, w] : s.sent)
+      bare = bare && !(open(id) || (servers.count(id) && servers.at(id).ready()));
+    for (const Action& a : s.changedLines(t)) {
+      const auto& line = std::get<SetLine>(a);
+      const auto v = servers.find(line.server);
+      if (line.weight == 0 && v != servers.end() && leaving(v->second) && !v->second.withdrawn) continue;
+      const bool first = line.weight > 0 ? line.server == s.home : open(line.server);
+      (first ? home : rest).orders.push_back(a);
+      if (line.weight == 0 && !first) rest.urgency = kMove;
+    }
+    if (bare) home.urgency = kMust;
+    if (!home.orders.empty()) pieces.push_back(std::move(home));
+    if (!rest.orders.empty()) pieces.push_back(std::move(rest));
   }
 
   // Guards against a full channel, whatever fills it: each message is filled from one order of urgency, the
@@ -644,13 +694,10 @@
   void flush() {
     if (proxies.empty()) return;
     std::vector<Piece> pieces;
-    if (std::vector<Action> orders = withdrawals(); !orders.empty())
-      pieces.push_back({kMust, 0, kAllTables, std::move(orders)});
     for (auto& [t, s] : slices) {
-      if (s.sent != s.want) {
-        std::vector<Action> lines = cfg.oneOwner ? handOver(t, s) : s.changedLines(t);
-        if (!lines.empty()) pieces.push_back({urgencyOf(s), -heatOf(s), t, std::move(lines)});
-      }
+      if (!cfg.oneOwner && s.sent != s.want) addLines(t, s, pieces);
+      if (std::vector<Action> lines = handOver(t, s); !lines.empty())
+        pieces.push_back({kMust, -heatOf(s), t, std::move(lines)});
       std::vector<Action> levels;
       for (std::size_t c = 0; c < s.levels.size() && cfg.levelUnit == LevelUnit::Share; ++c) {
         if (s.levels[c] != s.sentLevels[c])
@@ -666,11 +713,12 @@
       for (const auto& [how, mask] : masks) rules.push_back(Admit{kAllTables, mask, how.second, how.first});
       pieces.push_back({kLevel, -allHeat, kAllTables, std::move(rules)});
     }
-    if (pieces.empty()) return;
+    const bool pulls = !withdrawals().empty();
+    if (pieces.empty() && !pulls) return;
     std::sort(pieces.begin(), pieces.end(), [](const Piece& a, const Piece& b) {
       return std::tie(a.urgency, a.order, a.table) < std::tie(b.urgency, b.order, b.table);
     });
-    const Urgency first = pieces.front().urgency;
+    const Urgency first = pulls ? kMust : pieces.front().urgency;
     if (!mayWrite(first)) return;
     double lines = 0, wanted = 0;
     for (const Piece& p : pieces) wanted += p.urgency == first ? static_cast<double>(p.orders.size()) : 0;
@@ -684,6 +732,12 @@
       for (const Action& order : p.orders) note(order);
       orders.insert(orders.end(), p.orders.begin(), p.orders.end());
     }
+    for (const Action& order : withdrawals()) {
+      if (lines + 1 > room(kMust) && (lines > 0 || linesQueued() > 0)) break;
+      lines += 1;
+      note(order);
+      orders.push_back(order);
+    }
     if (orders.empty()) return;
     if (cfg.oneOwner) orders.push_back(Mark{lastMark = (lastMark + 1) % 65536, true});
     const double head = cfg.linesPerMessage + static_cast<double>(cfg.classes.size());
@@ -743,11 +797,16 @@
         Server fresh;
         fresh.changedAt = fresh.movedAt = now;
         fresh.withdrawn = s.withdrawn;
+        fresh.proved = s.proved;
         std::swap(s, fresh);
       }
+      const bool drained = s.entry.state == ServerState::Draining;
+      if (s.seenAt == 0) s.seenAt = now;
+      if (news.mode == ListMode::Cached) s.proved = true;
       s.entry = e;
       s.entry.startedAt = std::max(before, e.startedAt);
       s.listed = e.state != ServerState::Gone;
+      if (!s.listed && cfg.goneIsAdvice) s.entry.state = drained ? ServerState::Draining : ServerState::Ready;
       if (e.state == ServerState::Draining) drainSeenAt = now;
     }
     if (news.mode == ListMode::Cached) return;
@@ -785,6 +844,7 @@
     s.failed.add(now, failed, kHealthMemory);
     s.reportedAt = now;
     if (r.latency <= 0 || tries <= failed) return;
+    s.proved = true;
     s.answers.add(now, tries - failed, kHealthMemory);
     s.latencySum.add(now, (tries - failed) * static_cast<double>(r.latency), kHealthMemory);
     const double answers = s.answers.at(now, kHealthMemory);
@@ -814,12 +874,22 @@
     const auto it = slices.find(e.slice);
     if (it == slices.end() || e.weight <= 0) return;
     Slice& s = it->second;
+    servers[e.server].proved = true;
     s.sent[e.server] = s.want[e.server] = e.weight;
-    if (s.home.empty() || e.weight > s.want[s.home]) s.home = s.firstHome = e.server;
+    const bool better = s.home.empty() || e.weight > s.want[s.home] ||
+                        (e.weight == s.want[s.home] && !servers[s.home].ready());
+    if (better) s.home = s.firstHome = e.server;
+  }
+
+  void on(const ProbeResult& r) {
+    const auto it = servers.find(r.server);
+    if (it == servers.end() || it->second.proved || r.outcome != ProbeOutcome::Answered) return;
+    it->second.proved = true;
+    it->second.changedAt = now;
   }
 
   template <class Other>
-  void on(const Other&) {}  // nothing is decided by probes, notes and the demand of single proxies
+  void on(const Other&) {}  // nothing is decided by notes and the demand of single proxies
 
   void decide() {
     if (cfg.listOnRequest && !subscribed && now >= askAgainAt) {
@@ -828,6 +898,7 @@
     }
     reckon();
     judgeHealth();
+    probe();
     evacuate();
     judgeStrength();
     judgeHot();
--- a/src/state.h
+++ b/src/state.h
@@ -54,7 +54,11 @@
 
 struct Server {
   ServerEntry entry;
-  bool listed = false;   // in the list as it stands
+  bool listed = false;    // in the list as it stands
+  bool believed = false;  // dropped from the list, yet taken to be there
+  bool proved = false;    // has answered, or held slices when this supervisor met it
+  Micros seenAt = 0, probeAt = 0;
+  Micros leftAt = 0;     // when it was last found draining or gone
   Micros changedAt = 0;  // when it last started or was taken back, as far as seen; 0: never
 
   Fading tries, failed, answers, latencySum;
@@ -81,10 +85,10 @@
   double pressedAt = 0;                // what it got when it was last found pressed
   Micros allowedAt = 0;
   int rises = 0;           // of the allowance, one after the other
-  bool withdrawn = false;  // without slices: ordered out of all tables
+  bool withdrawn = false;  // ordered out of all tables
 
-  bool ready() const { return listed && entry.state == ServerState::Ready; }
-  bool usable() const { return ready() && !failing; }
+  bool ready() const { return (listed || believed) && entry.state == ServerState::Ready; }
+  bool usable() const { return ready() && !failing && proved && !withdrawn; }
   double lowestLatency() const {
     double low = 0;
     for (const auto& [at, l] : latencies) low = low == 0 ? l : std::min(low, l);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -192,6 +192,7 @@
   if (const Value* rules = f.find("rules")) {
     const Fields r(*rules, where + ": rules");
     s.drainGrace = r.integerOr("drainGraceUs", 0, kMicrosMax, 0);
+    s.goneIsAdvice = r.mark("goneIsAdvice");
     s.askWithin = r.integerOr("askWithinUs", 0, kMicrosMax, 0);
     s.startCapacity = r.numberOr("startCapacity", 1);
     s.warmAfter = r.integerOr("warmAfterUs", 0, kMicrosMax, 0);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -68,6 +68,16 @@
   EXPECT_EQ(n.settings.levelUnit, LevelUnit::PerSecond);
   EXPECT_EQ(n.settings.startCapacity, 0.15);
   EXPECT_EQ(n.settings.warmAfter, 16000000);
+  EXPECT_FALSE(n.settings.goneIsAdvice) << "absent: gone binds";
+}
+
+TEST(Codec, GoneIsAdviceWhereItIsSet) {
+  std::string info(kInfo);
+  const std::string rules = "\"rules\":{";
+  ASSERT_NE(info.find(rules), std::string::npos);
+  info.insert(info.find(rules) + rules.size(), "\"goneIsAdvice\":true,");
+  const Batch b = parseBatch(batch(R"({"newInstance":{"randomSeed":1,"info":)" + info + "}}"));
+  EXPECT_TRUE(std::get<NewInstance>(b.groups[0].input[0]).settings.goneIsAdvice);
 }
 
 TEST(Codec, ListNews) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -194,6 +194,158 @@
   for (int t = 0; t < 4; ++t) EXPECT_EQ(s.home(t), "s_a");
 }
 
+// ---- Wrong lists ----
+
+Settings adviceSettings() {
+  Settings settings = plainSettings();
+  settings.goneIsAdvice = true;
+  return settings;
+}
+
+// A list called most servers gone while they served: their slices were heaped on the few left, which jammed.
+TEST(WrongList, WhatItDropsStaysWhileItAnswers) {
+  Scene s(adviceSettings(), 6);
+  s.start(24);
+  s.run(8 * kSecond);
+  const auto before = s.tables;
+  const auto truth = s.list;
+  for (int i = 0; i < 5; ++i) s.list.erase(Scene::name(i));
+  s.feed({s.news(ListMode::Full)});
+  s.run(10 * kSecond);
+  EXPECT_EQ(s.tables, before);
+  s.list = truth;  // and its return moves nothing either
+  s.feed({s.news(ListMode::Full)});
+  s.run(5 * kSecond);
+  EXPECT_EQ(s.tables, before);
+}
+
+TEST(WrongList, WhatItDropsIsLeftAtOnceWhereGoneBinds) {
+  Scene s(plainSettings(), 6);
+  s.start(24);
+  s.run(8 * kSecond);
+  s.tell("s_a", ServerState::Gone);
+  EXPECT_EQ(s.homesAt("s_a"), 0);
+}
+
+TEST(WrongList, WhatItDropsIsLeftWhenItsAnswersStop) {
+  Scene s(adviceSettings(), 6);
+  s.start(24);
+  s.run(8 * kSecond);
+  for (int i = 0; i < 3; ++i) s.bad(Scene::name(i), 1);  // half the fleet: relative to it none fails
+  for (int i = 0; i < 3; ++i) s.list.erase(Scene::name(i));
+  s.feed({s.news(ListMode::Full)});
+  s.run(8 * kSecond);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(s.homesAt(Scene::name(i)), 0) << i;
+}
+
+TEST(WrongList, WhatWasSeenDrainingIsLeftThoughGoneIsAdvice) {
+  Scene s(adviceSettings(), 6);
+  s.start(24);
+  s.run(8 * kSecond);
+  s.tell("s_a", ServerState::Draining);
+  s.tell("s_a", ServerState::Gone);
+  s.run(10 * kSecond);
+  for (int t = 0; t < 24; ++t) EXPECT_EQ(s.tables[t].count("s_a"), 0u) << t;
+}
+
+// Listed servers that are none drew the slices of every server that left.
+TEST(WrongList, ListedServersThatNeverAnswerGetNoBulkOfSlices) {
+  for (const bool probes : {false, true}) {
+    Settings settings = adviceSettings();
+    settings.probesAllowed = probes;
+    Scene s(settings, 6);
+    s.start(24);
+    s.run(8 * kSecond);
+    for (const char* id : {"s_t", "s_u", "s_v", "s_w"}) {
+      s.ghosts.insert(id);
+      s.bad(id, 1);
+      s.tell(id, ServerState::Ready, s.now - 5 * kSecond);
+    }
+    s.run(kSecond);
+    s.tell("s_a", ServerState::Draining);
+    s.tell("s_b", ServerState::Draining);
+    int onGhosts = 0;
+    for (const auto& id : s.ghosts) onGhosts += s.homesAt(id);
+    EXPECT_LE(onGhosts, probes ? 0 : 2);
+    s.run(20 * kSecond);
+    EXPECT_LE(s.probes["s_t"], 8) << "asked less and less often";
+    EXPECT_EQ(s.probes["s_t"] > 0, probes);
+  }
+}
+
+TEST(WrongList, ANewServerThatAnswersIsTrusted) {
+  for (const bool probes : {false, true}) {
+    Settings settings = adviceSettings();
+    settings.probesAllowed = probes;
+    Scene s(settings, 4);
+    s.start(24);
+    s.run(8 * kSecond);
+    s.tell("s_z", ServerState::Ready, s.now - 17 * kSecond);  // warm
+    s.run(kSecond);
+    s.tell("s_a", ServerState::Draining);
+    s.run(5 * kSecond);
+    EXPECT_GE(s.homesAt("s_z"), 1);
+    s.tell("s_b", ServerState::Draining);
+    EXPECT_GE(s.homesAt("s_z"), 3) << probes;
+  }
+}
+
+// ---- The channel at the largest size ----
+
+// All differences went in one reply: at full size a level or a deploy ordered several times what may wait.
+class FullSize : public testing::TestWithParam<double> {};
+
+TEST_P(FullSize, NoMoreLinesWaitThanMayAndDrainsAreKept) {
+  Settings settings = plainSettings();
+  settings.slices = 2000;
+  settings.linesPerSecond = settings.linesWaitingMax = 100000;
+  settings.drainGrace = 3 * kSecond;
+  settings.messagesPerProxyMax = 0;
+  Scene s(settings, 280);
+  std::vector<Event> ev = s.startEvents(1000);
+  for (int p = 3; p < 300; ++p) ev.push_back(ProxyJoined{p, p % 2, 5, true});
+  const double pace = settings.linesPerSecond / GetParam();
+  double waiting = 0, most = 0;
+  Micros from = s.now;
+  auto feed = [&](const std::vector<Event>& events) {
+    waiting = std::max(0.0, waiting - pace * static_cast<double>(s.now - from) / kSecond);
+    from = s.now;
+    double lines = 0;
+    for (const Action& a : s.feed(events))
+      lines += std::get_if<SetLine>(&a) || std::get_if<Admit>(&a) || std::get_if<Withdraw>(&a);
+    if (lines > 0) waiting += 300 * (settings.linesPerMessage + lines);
+    most = std::max(most, waiting);
+  };
+  auto run = [&](Micros span) {
+    for (const Micros end = s.now + span; s.now < end;) {
+      s.now += 250 * kMs;
+      std::vector<Event> reports{TimerFired{"sweep"}};
+      if (s.now / (250 * kMs) % 2 == 0) s.report(reports);
+      feed(reports);
+    }
+  };
+  feed(ev);
+  run(10 * kSecond);
+  ListNews drain;  // a third of the fleet drains at once
+  drain.mode = ListMode::Delta;
+  for (int i = 0; i < 90; ++i) {
+    drain.entries.push_back(s.list[Scene::name(i)]);
+    drain.entries.back().state = ServerState::Draining;
+  }
+  feed({drain});
+  run(2 * kSecond);
+  for (int t = 0; t < 1000; ++t) {
+    EXPECT_FALSE(s.tables[t].empty()) << t;
+    for (int i = 0; i < 90; ++i) EXPECT_EQ(s.tables[t].count(Scene::name(i)), 0u) << t;
+  }
+  for (int i = 0; i < 280; ++i) s.latency[Scene::name(i)] = 1500 * kMs;  // and all are overloaded
+  run(15 * kSecond);
+  EXPECT_LE(most, settings.linesWaitingMax);
+  EXPECT_LT((s.levels[{kAllTables, 0}]), 0.9) << "one level for all slices";
+}
+
+INSTANTIATE_TEST_SUITE_P(Paces, FullSize, testing::Values(1.0, 2.0));
+
 // ---- Health ----
 
 TEST(Health, AServerThatFailsFastIsLeft) {
@@ -393,7 +545,9 @@
 }
 
 TEST(Admission, UnderStrainAColdServerLetsInNoLargerShareThanTheWarm) {
-  Scene s(plainSettings(), 4);
+  Settings settings = plainSettings();
+  settings.probesAllowed = true;
+  Scene s(settings, 4);
   s.start(16);
   s.run(8 * kSecond);
   for (int i = 0; i < 4; ++i) s.latency[Scene::name(i)] = 900 * kMs;
@@ -445,6 +599,7 @@
   for (const bool strained : {false, true}) {
     Settings settings = plainSettings();
     settings.slices = 120;
+    settings.probesAllowed = true;
     Scene s(settings, 6);
     s.start(120);
     s.run(10 * kSecond);
@@ -453,6 +608,7 @@
     }
     s.run(8 * kSecond);
     s.tell("s_z", ServerState::Ready, s.now - 4 * kSecond);
+    s.run(250 * kMs);  // the probe's answer comes
     for (int i = 0; i < 4; ++i) s.tell(Scene::name(i), ServerState::Gone);
     given[strained] = s.homesAt("s_z");
   }
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -59,7 +59,9 @@
     }
   }
 
-  static std::string name(int i) { return std::string("s_") + static_cast<char>('a' + i); }
+  static std::string name(int i) {
+    return i < 20 ? std::string("s_") + static_cast<char>('a' + i) : "s_" + std::to_string(i);
+  }
 
   std::vector<Event> startEvents(int slices) {
     std::vector<Event> ev{news(ListMode::Cached), news(ListMode::Full)};
@@ -82,6 +84,7 @@
     for (int t : std::set<TableId>(charge)) {
       ev.push_back(SliceCharge{t, true});
       for (const auto& [server, w] : tables[t]) ev.push_back(StoredLine{t, server, w});
+      for (const auto& [server, w] : shut[t]) ev.push_back(StoredLine{t, server, w});
     }
     levels.clear();
     feed(ev);
@@ -125,10 +128,21 @@
         wrote = true;
         ++linesSent;
         if (charge.count(line->table) == 0) strayOrders.insert(line->table);
+        auto& lines = (withdrawn.count(line->server) > 0 ? shut : tables)[line->table];
         if (line->weight > 0)
-          tables[line->table][line->server] = line->weight;
+          lines[line->server] = line->weight;
         else
-          tables[line->table].erase(line->server);
+          lines.erase(line->server);
+      }
+      if (const auto* pull = std::get_if<Withdraw>(&a)) {
+        wrote = true;
+        withdraw(pull->server, pull->out);
+      }
+      if (const auto* probe = std::get_if<Probe>(&a)) {
+        ++probes[probe->server];
+        const bool there = list.count(probe->server) > 0 && ghosts.count(probe->server) == 0;
+        probed.push_back(
+            ProbeResult{probe->server, there ? ProbeOutcome::Answered : ProbeOutcome::Unreachable, kMs});
       }
       if (const auto* admit = std::get_if<Admit>(&a)) {
         wrote = true;
@@ -164,12 +178,29 @@
     return n;
   }
 
+  // A withdrawn server's lines stay in the tables, yet proxies do not pick them.
+  void withdraw(const std::string& server, bool out) {
+    if (out)
+      withdrawn.insert(server);
+    else
+      withdrawn.erase(server);
+    for (const TableId t : std::set<TableId>(charge)) {
+      auto& from = out ? tables[t] : shut[t];
+      auto& to = out ? shut[t] : tables[t];
+      if (from.count(server) == 0) continue;
+      to[server] = from[server];
+      from.erase(server);
+    }
+  }
+
   // Lets time pass: every report period each slice is asked for as `rates` say and each server answers as
   // `latency` and `badShare` say, by zone of the proxies.
   void run(Micros span) {
     for (const Micros end = now + span; now < end;) {
       now += 250 * kMs;
       std::vector<Event> ev{TimerFired{"sweep"}};
+      ev.insert(ev.end(), probed.begin(), probed.end());
+      probed.clear();
       if (reporting && (now / (250 * kMs)) % 2 == 0) report(ev);
       feed(ev);
     }
@@ -203,7 +234,10 @@
   Director director;
   Micros now = 1000 * kSecond;
   std::map<std::string, ServerEntry> list;
-  std::map<TableId, std::map<std::string, double>> tables;
+  std::map<TableId, std::map<std::string, double>> tables, shut;  // shut: lines to withdrawn servers
+  std::set<std::string> withdrawn, ghosts;                        // ghosts are listed and answer nothing
+  std::map<std::string, int> probes;
+  std::vector<Event> probed;
   std::map<std::pair<TableId, int>, double> levels, rates;
   std::map<std::pair<TableId, int>, SecondTry> tries;
   std::map<std::string, Micros> latency;
