--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,7 +1,6 @@
 // The decision module of peargrade: every decision, table and tuned value is in this file.
 // Its interface is include/peargrade/director.h; src/state.h holds the records it keeps.
 // Parts, in order: estimates, placement and evacuation, the hot rule, admission and retries, pacing, events.
-#include <cstdio>
 #include <tuple>
 
 #include "peargrade/director.h"
@@ -12,47 +11,33 @@
 
 constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
 
-// Estimates.
-constexpr Micros kSweepEvery = 250 * kMs;
-constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond;
-constexpr Micros kReportsLag = 1 * kSecond;          // reports are about this late; no setting tells
-constexpr double kWayMargin = 1.5, kWayLoss = 0.05;  // so much worse than the best way is not the way's
-constexpr double kFewAnswers = 4;
-constexpr Micros kLowestSpan = 30 * kSecond;
+// Estimates. Reports are about kReportsLag late; no setting tells.
+constexpr Micros kSweepEvery = 250 * kMs, kReportsLag = 1 * kSecond;
+constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond, kLowestSpan = 30 * kSecond;
+constexpr double kWayMargin = 2, kWayLoss = 0.05, kFewAnswers = 4;
 // Health: a server fails from this share of tries, if that is so many times what the others show.
 constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kStillAnswers = 0.2;
-constexpr Micros kFailingHold = 8 * kSecond;
-// Placement.
-constexpr double kColdDiscount = 0.85, kColdStrained = 0.7;  // a cold server has cold keys too
-constexpr double kNearlyCoolest = 1.1;  // among these the seed picks, so that supervisors differ
-constexpr Micros kRollingSpan = 10 * kSecond;
-constexpr double kNextToGo = 1.3;
-constexpr double kStandbyShare = 0.001;
-constexpr double kTrialShare = 0.05;
-constexpr Micros kProbeFirst = 500 * kMs;
-constexpr double kRefillBelow = 0.8;
-constexpr Micros kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond, kTargetAge = 2 * kSecond;
+constexpr Micros kFailingHold = 8 * kSecond, kProbeFirst = 500 * kMs;
+// Placement. A cold server has cold keys too; among the nearly coolest the seed picks.
+constexpr double kColdDiscount = 0.85, kColdStrained = 0.7, kNearlyCoolest = 1.1, kNextToGo = 1.3;
+constexpr double kStandbyShare = 0.001, kTrialShare = 0.05, kRefillBelow = 0.8;
+constexpr Micros kRollingSpan = 10 * kSecond, kTargetAge = 2 * kSecond;
+constexpr Micros kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond;
 // The hot rule of the design.
-constexpr double kHotLatency = 2;
 constexpr int kHotReports = 3;
 constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
-constexpr double kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
+constexpr double kHotLatency = 2, kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
 // Admission: pressure is heard latency as a share of the aim.
-constexpr double kOverloaded = 0.55, kRelaxed = 0.3, kRefusing = 0.2, kStep = 0.1;
-constexpr double kSlowStep = 0.03, kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4;
-constexpr double kHaste = 0.7, kHasteLeast = 0.5;
+constexpr double kOverloaded = 0.55, kRelaxed = 0.3, kRefusing = 0.2, kStep = 0.1, kSlowStep = 0.03;
+constexpr double kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4, kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
-constexpr double kUsualRise = 0.1;          // a second
-constexpr double kStrainedBadShare = 0.15;  // of all tries: from here further tries add to the trouble
-// Pacing.
-// By urgency: the share of the message limit and of the lines that may wait; the rest is kept for what is
-// more urgent.
+constexpr double kUsualRise = 0.1, kStrainedBadShare = 0.15;  // a second; of all tries
+// Pacing. By urgency: the share of the message limit and of the lines that may wait; the rest is kept for
+// what is more urgent. The channel may be kSlowChannel times slower than it says; what must go waits for
+// kGatherShare of a message's room.
 constexpr double kMessageShare[] = {0.9, 0.8, 0.6, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
-constexpr double kSlowChannel = 4;  // the channel may be so much slower than it says
-constexpr int kMarks = 65536;
-constexpr Micros kGraceMargin = 300 * kMs;
-constexpr double kGatherShare = 0.25;  // of what a message may hold: what must go waits for so much room
-constexpr Micros kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
+constexpr double kSlowChannel = 4, kGatherShare = 0.25;
+constexpr Micros kGraceMargin = 300 * kMs, kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
 double seconds(Micros span) { return static_cast<double>(span) / kSecond; }
 
@@ -67,9 +52,7 @@
   std::vector<Action> out;
   std::map<ServerId, Server> servers;
   std::map<TableId, Slice> slices;
-  std::map<ProxyId, double> proxies;  // with what each has confirmed of the lines ordered to one
-  double ordered = 0, confirmed = 0;  // lines to one proxy; what all proxies have confirmed
-  std::map<int, double> orderedBy;    // mark
+  Channel channel;
   bool booted = false, listFresh = false, subscribed = false;
   Micros drainSeenAt = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
@@ -79,16 +62,17 @@
   double usual = 0;                   // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
   std::vector<double> fleetLevels, fleetSent;  // by class, for all slices; a slice's own may be lower
-  std::map<std::pair<int, int>, Way> ways;     // by zone of the servers, of the proxies
-  Recent messages;                             // when replies that write to proxies went out
-  double queued = 0;                           // lines that wait in the channel, as reckoned
-  Micros queuedAt = 0, routineAt = 0, usualAt = 0;
+  std::vector<std::size_t> byWorth;            // classes, least worth per work first
+  Ways ways;
+  Micros routineAt = 0, usualAt = 0;
   Micros heardFrom = 0;  // the first reports of demand begin here
-  int lastMark = 0;
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {
-    fleetLevels.assign(cfg.classes.size(), 1);
-    fleetSent = fleetLevels;
+    fleetSent = fleetLevels = std::vector<double>(cfg.classes.size(), 1);
+    for (std::size_t c = 0; c < cfg.classes.size(); ++c) byWorth.push_back(c);
+    std::sort(byWorth.begin(), byWorth.end(), [&](std::size_t a, std::size_t b) {
+      return cfg.classes[a].worth / work(a) < cfg.classes[b].worth / work(b);
+    });
   }
 
   // ---- Estimates: heat, latency, health ----
@@ -176,15 +160,16 @@
     }
     ways.clear();
     for (const auto& [there, zones] : met) {
-      double latency = 0, lost = 1;
+      double least = 0, lost = 1;
       for (const auto& [here, m] : zones) {
-        const double l = m.latency(now, kHealthMemory);
-        if (l > 0) latency = latency == 0 ? l : std::min(latency, l);
+        if (m.latency(now, kHealthMemory) > 0)
+          least = least == 0 ? m.latency(now, kHealthMemory) : std::min(least, m.latency(now, kHealthMemory));
         lost = std::min(lost, m.tally(now, kHealthMemory).badShare());
       }
       for (const auto& [here, m] : zones) {
-        const double l = m.latency(now, kHealthMemory), bad = m.tally(now, kHealthMemory).badShare();
-        ways[{there, here}] = {std::max(0.0, l - kWayMargin * latency), std::max(0.0, bad - lost - kWayLoss)};
+        const double slow = m.latency(now, kHealthMemory), bad = m.tally(now, kHealthMemory).badShare();
+        ways[{there, here}] = {slow > kWayMargin * least ? slow - least : 0,
+                               bad > lost + kWayLoss ? bad - lost : 0};
       }
     }
   }
@@ -212,17 +197,7 @@
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
       allWeight += s.usable() ? weight(s) : 0;
-      s.tally = {};
-      double answers = 0, latency = 0;
-      for (const auto& [zone, seen] : s.seen) {
-        const Way& way = ways[{s.entry.zone, zone}];
-        const double n = seen.answers.at(now, kHealthMemory), tries = seen.tries.at(now, kHealthMemory);
-        answers += n;
-        latency += std::max(0.0, seen.latencySum.at(now, kHealthMemory) - n * way.extra);
-        s.tally.tries += tries;
-        s.tally.failed += std::max(0.0, seen.failed.at(now, kHealthMemory) - tries * way.lost);
-      }
-      s.latency = answers < 0.5 ? 0 : latency / answers;
+      const double answers = s.sum(now, kHealthMemory, ways);
       if (answers >= kFewAnswers && s.lowestAt < s.reportedAt) s.latencies.add(now, s.latency, kLowestSpan);
       s.lowestAt = now;
       s.pressure = aims[id] > 0 ? s.latency / (aims[id] / requests[id] * kSecond) : 0;
@@ -274,28 +249,30 @@
   // The coolest by projected heat per unit of usable weight. Near ties are broken by the seed, so that two
   // supervisors that see the same do not both choose the same.
   template <class Allowed>
-  ServerId coolest(double h, Allowed allowed) {
-    double best = -1;
-    for (const ServerRef& s : servers) {
-      if (allowed(s) && (best < 0 || lastingLoad(s.second, h) < best)) best = lastingLoad(s.second, h);
+  ServerId coolest(const Slice& slice, Allowed allowed) {
+    std::vector<std::pair<double, ServerId>> loads;
+    for (const auto& [id, s] : servers) {
+      if (id != slice.home && allowed(s)) loads.emplace_back(lastingLoad(s, slice.heat), id);
     }
+    if (loads.empty()) return {};
+    const double most = std::min_element(loads.begin(), loads.end())->first * kNearlyCoolest;
     std::vector<ServerId> near;
-    for (const ServerRef& s : servers) {
-      if (allowed(s) && lastingLoad(s.second, h) <= best * kNearlyCoolest) near.push_back(s.first);
+    for (const auto& [l, id] : loads) {
+      if (l <= most) near.push_back(id);
     }
-    return near.empty() ? ServerId() : near[rng.next() % near.size()];
+    return near[rng.next() % near.size()];
   }
 
-  void move(TableId table, Slice& s, const ServerId& to, const std::string& reason) {
+  void move(TableId table, const ServerId& to, const std::string& reason) {
+    Slice& s = slices[table];
     log("slice " + std::to_string(table) + " to " + to + " from " + s.home + ": " + reason);
-    const double h = s.heat;
     const double w = s.want.count(s.home) > 0 ? s.want[s.home] : 1;
     s.want.erase(s.home);
-    servers[s.home].heat -= h;
+    servers[s.home].heat -= s.heat;
     s.want[to] = w;
     Server& target = servers[to];
-    target.heat += h;
-    if (target.changedAt > 0) target.hidden += h * (peers - 1);
+    target.heat += s.heat;
+    if (target.changedAt > 0) target.hidden += s.heat * (peers - 1);
     s.home = to;
     s.movedAt = now;
   }
@@ -319,17 +296,12 @@
     }
     std::sort(order.begin(), order.end());
     for (const auto& entry : order) {
-      const TableId t = std::get<2>(entry);
-      Slice& s = slices[t];
-      const double h = s.heat;
-      ServerId to = coolest(h, [&](const ServerRef& v) {
-        const bool open = v.second.usable() || mayTry(v.second);
-        return v.first != s.home && open && !startedWithin(v.second, kTargetAge);
-      });
-      if (to.empty())
-        to = coolest(h, [&](const ServerRef& v) { return v.first != s.home && v.second.ready(); });
+      Slice& s = slices[std::get<2>(entry)];
+      ServerId to = coolest(
+          s, [&](const Server& v) { return (v.usable() || mayTry(v)) && !startedWithin(v, kTargetAge); });
+      if (to.empty()) to = coolest(s, [&](const Server& v) { return v.ready(); });
       if (to.empty()) continue;
-      move(t, s, to, whyLeave(s));
+      move(std::get<2>(entry), to, whyLeave(s));
       s.leftHome = true;
     }
   }
@@ -362,14 +334,13 @@
       if (load(r) >= kRefillBelow * mean) continue;
       ServerRef* donor = nullptr;
       for (ServerRef& d : servers) {
-        if (d.first == id || !d.second.usable() || now < d.second.nextMoveAt || load(d.second) <= mean)
-          continue;
+        if (!d.second.usable() || now < d.second.nextMoveAt || load(d.second) <= mean) continue;
         if (donor == nullptr || load(d.second) > load(donor->second)) donor = &d;
       }
-      if (donor == nullptr) continue;
+      if (donor == nullptr) return;
       for (TableId t : byHalfOfHottest(donor->first)) {
         if (load(r, slices[t].heat) > mean) continue;
-        move(t, slices[t], id, "refill");
+        move(t, id, "refill");
         r.gaveAt = now;
         donor->second.nextMoveAt = now + kRefillEvery;
         break;
@@ -461,16 +432,16 @@
   // Design items 5 and 6: at half the heat of the hottest or nearest above it, then nearest below, then the
   // hottest, then cold ones.
   std::vector<TableId> byHalfOfHottest(const ServerId& id) const {
-    double hottest = 0;
-    for (const auto& [t, s] : slices) {
-      if (s.home == id) hottest = std::max(hottest, s.heat);
-    }
     std::vector<std::tuple<int, double, TableId>> order;
+    double hottest = 0;
     for (const auto& [t, s] : slices) {
       if (s.home != id) continue;
-      const double h = s.heat;
-      const int rank = h <= 0 ? 3 : h >= hottest ? 2 : h >= hottest / 2 ? 0 : 1;
-      order.emplace_back(rank, rank == 0 ? h : -h, t);
+      order.emplace_back(0, s.heat, t);
+      hottest = std::max(hottest, s.heat);
+    }
+    for (auto& [rank, h, t] : order) {
+      rank = h <= 0 ? 3 : h >= hottest ? 2 : h >= hottest / 2 ? 0 : 1;
+      h = rank == 0 ? h : -h;
     }
     std::sort(order.begin(), order.end());
     std::vector<TableId> tables;
@@ -490,13 +461,12 @@
     for (auto& [id, s] : servers) {
       if (!s.usable() || !isHot(s) || now < s.nextMoveAt) continue;
       for (TableId t : byHalfOfHottest(id)) {
-        const double h = slices[t].heat;
-        const ServerId to = coolest(h, [&, &from = id](const ServerRef& c) {
-          return c.first != from && c.second.usable() && !isHot(c.second) && load(c.second) < mean &&
-                 !startedWithin(c.second, kSettledStart) && h <= allHeat * weight(c.second) / allWeight;
+        const ServerId to = coolest(slices[t], [&](const Server& c) {
+          return c.usable() && !isHot(c) && load(c) < mean && !startedWithin(c, kSettledStart) &&
+                 slices[t].heat <= allHeat * weight(c) / allWeight;
         });
         if (to.empty()) continue;
-        move(t, slices[t], to, "hot");
+        move(t, to, "hot");
         s.hotRuns = 0;
         s.movedAt = now;
         s.nextMoveAt = now + static_cast<Micros>(kPeriod * (1 + 2 * rng.uniform()));
@@ -569,47 +539,39 @@
   }
 
   // What is not let in is taken from the classes of least worth per work first, in few steps.
+  std::vector<double> levelsFor(double admitted) const {
+    double cut = 0;
+    for (const double d : demand) cut += (1 - admitted) * d;
+    std::vector<double> levels(demand.size(), 1);
+    for (const std::size_t c : byWorth) {
+      const double take = std::min(cut, (1 - kClassLeast) * demand[c]);
+      if (take > 0) levels[c] = std::round((1 - take / demand[c]) / kLevelGrain) * kLevelGrain;
+      cut -= take;
+    }
+    return levels;
+  }
+
+  // Departure: a level for each slice costs a line each. Where more are needed than a message holds, one
+  // level for all slices is their mean, and slices keep a level of their own where it is lower.
   void setLevels() {
-    const std::size_t n = cfg.classes.size();
-    double all = 0;
-    for (const double d : demand) all += d;
-    std::vector<std::size_t> order(n);
-    for (std::size_t c = 0; c < n; ++c) order[c] = c;
-    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-      return cfg.classes[a].worth / work(a) < cfg.classes[b].worth / work(b);
-    });
-    std::map<ServerId, std::vector<double>> wanted;
-    std::vector<double> mean(n, 0);
+    std::vector<double> mean(demand.size(), 0);
     double exceptions = 0;
-    for (auto& [t, s] : slices) {
-      std::vector<double>& level = wanted[s.home];
-      if (level.empty()) {
-        double cut = (1 - servers[s.home].admitted) * all;
-        level.assign(n, 1);
-        for (std::size_t c : order) {
-          if (cut <= 0 || demand[c] <= 0) continue;
-          const double take = std::min(cut, (1 - kClassLeast) * demand[c]);
-          level[c] = std::round((1 - take / demand[c]) / kLevelGrain) * kLevelGrain;
-          cut -= take;
-        }
-      }
-      for (std::size_t c = 0; c < n; ++c) {
-        exceptions += level[c] < 1;
-        if (demand[c] > 0) mean[c] += level[c] * s.rates[c] * work(c) / demand[c];
+    for (auto& [id, s] : servers) s.levels = levelsFor(s.admitted);
+    for (const auto& [t, s] : slices) {
+      for (std::size_t c = 0; c < demand.size(); ++c) {
+        const double level = servers[s.home].levels[c];
+        exceptions += level < 1;
+        if (demand[c] > 0) mean[c] += level * s.rates[c] * work(c) / demand[c];
       }
     }
-    // Departure: a level for each slice costs a line each. Where more are needed than a message holds, one
-    // level for all slices is their mean, and slices keep a level of their own where it is lower.
-    const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max<std::size_t>(1, proxies.size());
-    const bool oneForAll = exceptions > held - cfg.linesPerMessage && cfg.levelUnit == LevelUnit::Share;
-    for (std::size_t c = 0; c < n; ++c) {
+    const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max(1.0, channel.proxies()) - head();
+    const bool oneForAll = exceptions > held && cfg.levelUnit == LevelUnit::Share;
+    for (std::size_t c = 0; c < demand.size(); ++c) {
       const double level = oneForAll ? std::round(mean[c] / kLevelGrain) * kLevelGrain : 1;
       if (level >= 1 || std::abs(level - fleetLevels[c]) >= kLevelStep) fleetLevels[c] = level;
-    }
-    for (auto& [t, s] : slices) {
-      for (std::size_t c = 0; c < n; ++c) {
+      for (auto& [t, s] : slices) {
         const double now = std::min(s.sentLevels[c], fleetLevels[c]);
-        const double level = std::min(wanted[s.home][c], fleetLevels[c]);
+        const double level = std::min(servers[s.home].levels[c], fleetLevels[c]);
         const bool same = std::abs(level - now) < kLevelStep && (level < 1 || now == 1);
         s.levels[c] = same ? s.sentLevels[c] : level < fleetLevels[c] ? level : 1;
       }
@@ -629,24 +591,23 @@
 
   // Guards against a channel slower than stated: what proxies have not confirmed counts as waiting, down to a
   // pace at which it would have gone even so (proxies that stand still confirm late).
-  double linesQueued() const {
-    const double slowest = queued - seconds(now - queuedAt) * cfg.linesPerSecond / kSlowChannel;
-    const double open = ordered * static_cast<double>(proxies.size()) - confirmed;
-    return std::max(0.0, std::min(slowest, open));
-  }
+  double linesQueued() const { return channel.waiting(now, cfg.linesPerSecond / kSlowChannel); }
 
   // Lines that a message to each proxy may hold now, for orders of an urgency; levels for all and the mark
   // ride along.
   double head() const { return cfg.linesPerMessage + static_cast<double>(cfg.classes.size()) + 1; }
   double room(Urgency urgency) const {
     const double lines = cfg.linesWaitingMax * kQueueShare[urgency] - linesQueued();
-    return lines / std::max(1.0, static_cast<double>(proxies.size())) - head();
+    return lines / std::max(1.0, channel.proxies()) - head();
   }
 
-  bool mayWrite(Urgency urgency) {
-    const double most = kMessageShare[urgency] * cfg.messagesPerProxyMax;
-    if (cfg.messagesPerProxyMax > 0 && messages.within(now, cfg.messagesSpan) >= most) return false;
-    return urgency <= kEvacuation || now - routineAt >= kRoutineEvery;
+  // What must go waits for room for all of it or a good part of a message; the rest for its turn.
+  bool mayWrite(Urgency first, double wanted) {
+    const double most = kMessageShare[first] * cfg.messagesPerProxyMax;
+    if (cfg.messagesPerProxyMax > 0 && channel.messagesWithin(now, cfg.messagesSpan) >= most) return false;
+    const double whole = cfg.linesWaitingMax * kQueueShare[first] / channel.proxies();
+    if (linesQueued() > 0 && room(first) < std::min(wanted, kGatherShare * whole)) return false;
+    return first <= kEvacuation || now - routineAt >= kRoutineEvery;
   }
 
   // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
@@ -713,7 +674,7 @@
   // Guards against a full channel, whatever fills it: each message is filled from one order of urgency, the
   // hottest slices first, as far as there is room; what is left waits, and a later decision replaces it.
   void flush() {
-    if (proxies.empty()) return;
+    if (channel.proxies() == 0) return;
     std::vector<Piece> pieces;
     for (auto& [t, s] : slices) {
       if (!cfg.oneOwner && s.sent != s.want) addLines(t, s, pieces);
@@ -740,11 +701,9 @@
       return std::tie(a.urgency, a.order, a.table) < std::tie(b.urgency, b.order, b.table);
     });
     const Urgency first = pulls > 0 ? kMust : pieces.front().urgency;
-    if (!mayWrite(first)) return;
     double lines = 0, wanted = pulls;
     for (const Piece& p : pieces) wanted += p.urgency == first ? static_cast<double>(p.orders.size()) : 0;
-    const double whole = cfg.linesWaitingMax * kQueueShare[first] / static_cast<double>(proxies.size());
-    if (linesQueued() > 0 && room(first) < std::min(wanted, kGatherShare * whole)) return;
+    if (!mayWrite(first, wanted)) return;
     std::vector<Action> orders;
     for (Piece& p : pieces) {
       const double more = static_cast<double>(p.orders.size());
@@ -760,44 +719,28 @@
       orders.push_back(order);
     }
     if (orders.empty()) return;
-    orders.push_back(Mark{lastMark = (lastMark + 1) % kMarks, cfg.oneOwner});
-    queued = linesQueued() + static_cast<double>(proxies.size()) * (head() + lines);
-    orderedBy[lastMark] = ordered += head() + lines;
-    queuedAt = routineAt = now;
-    messages.add(now);
+    orders.push_back(
+        Mark{channel.send(now, head() + lines, cfg.linesPerSecond / kSlowChannel), cfg.oneOwner});
+    routineAt = now;
     out.insert(out.end(), orders.begin(), orders.end());
   }
 
   // What was ordered is taken as done.
   void note(const Action& order) {
-    if (const auto* line = std::get_if<SetLine>(&order)) sent(*line);
     if (const auto* pull = std::get_if<Withdraw>(&order)) servers[pull->server].withdrawn = pull->out;
+    if (const auto* line = std::get_if<SetLine>(&order)) {
+      Slice& s = slices[line->table];
+      s.apply(*line);
+      if (!cfg.oneOwner || line->weight > 0) return;
+      s.unsettled = channel.all();
+      s.clearedBy = channel.nextMark();
+    }
     const auto* admit = std::get_if<Admit>(&order);
     if (admit == nullptr) return;
-    if (admit->table == kAllTables) {
-      rulesSent = true;
-      strainedSent = strained;
-      fleetSent = fleetLevels;
-      return;
-    }
-    Slice& s = slices[admit->table];
-    for (std::size_t c = 0; c < s.levels.size(); ++c) {
-      if ((admit->classMask & (1u << c)) != 0) s.sentLevels[c] = s.levels[c];
-    }
-  }
-
-  void sent(const SetLine& line) {
-    Slice& s = slices[line.table];
-    s.leftHome = s.leftHome && line.server != s.home;
-    if (line.weight > 0) {
-      s.sent[line.server] = line.weight;
-    } else {
-      s.sent.erase(line.server);
-      for (const auto& [proxy, c] : proxies) {
-        if (cfg.oneOwner) s.unsettled.insert(proxy);
-      }
-      s.clearedBy = (lastMark + 1) % kMarks;
-    }
+    if (admit->table != kAllTables) return slices[admit->table].apply(*admit);
+    rulesSent = true;
+    strainedSent = strained;
+    fleetSent = fleetLevels;
   }
 
   // ---- Events ----
@@ -838,31 +781,23 @@
   }
 
   void on(const ProxyJoined& e) {
-    on(ProxyLeft{e.proxy});
-    confirmed += proxies[e.proxy] = ordered;
+    channel.join(e.proxy);
     rulesSent = false;  // standing orders ride on later messages only
   }
 
   void on(const ProxyLeft& e) {
-    const auto it = proxies.find(e.proxy);
-    if (it == proxies.end()) return;
-    confirmed -= it->second;
-    proxies.erase(it);
+    channel.leave(e.proxy);
     for (auto& [t, s] : slices) {
       if (s.unsettled.erase(e.proxy) > 0) s.freeAt = std::max(s.freeAt, now + cfg.lease + cfg.writeSettle);
     }
   }
 
   void on(const OrderApplied& e) {
-    const auto it = proxies.find(e.proxy);
-    const auto by = orderedBy.find(e.mark);
-    if (it == proxies.end() || by == orderedBy.end() || by->second <= it->second) return;
-    confirmed += by->second - it->second;
-    it->second = by->second;
+    channel.confirm(e.proxy, e.mark);
     for (auto& [t, s] : slices) {
       if (!cfg.oneOwner) break;
-      if (e.mark < s.clearedBy || s.unsettled.erase(e.proxy) == 0) continue;
-      s.freeAt = std::max(s.freeAt, now + cfg.writeSettle);
+      if (e.mark >= s.clearedBy && s.unsettled.erase(e.proxy) > 0)
+        s.freeAt = std::max(s.freeAt, now + cfg.writeSettle);
     }
   }
 
@@ -871,16 +806,8 @@
     if (it == servers.end()) return;
     Server& s = it->second;
     if (startedWithin(s, kReportsLag + r.window)) return;  // of its former life, or too near it
-    const double tries = static_cast<double>(r.tries);
-    const double failed = static_cast<double>(std::min(r.failed, r.tries));
-    Zone& z = s.seen[r.zone];
-    z.tries.add(now, tries, kHealthMemory);
-    z.failed.add(now, failed, kHealthMemory);
     s.reportedAt = now;
-    if (r.latency <= 0 || tries <= failed) return;
-    s.proved = true;
-    z.answers.add(now, tries - failed, kHealthMemory);
-    z.latencySum.add(now, (tries - failed) * static_cast<double>(r.latency), kHealthMemory);
+    s.proved = s.seen[r.zone].add(now, r, kHealthMemory) || s.proved;
   }
 
   void on(const SliceDemand& d) {
--- a/src/state.h
+++ b/src/state.h
@@ -47,17 +47,61 @@
   Micros updated_ = 0;
 };
 
-// Events that happened within a span.
-class Recent {
+// What was ordered of the proxies and what they confirmed: each applies its messages in order.
+class Channel {
  public:
-  void add(Micros now) { at_.push_back(now); }
-  double within(Micros now, Micros span) {
-    while (!at_.empty() && at_.front() <= now - span) at_.pop_front();
-    return static_cast<double>(at_.size());
+  double proxies() const { return static_cast<double>(confirmedBy_.size()); }
+  std::set<ProxyId> all() const {
+    std::set<ProxyId> ids;
+    for (const auto& [proxy, lines] : confirmedBy_) ids.insert(proxy);
+    return ids;
+  }
+  void join(ProxyId proxy) {
+    leave(proxy);
+    confirmed_ += confirmedBy_[proxy] = ordered_;
+  }
+  void leave(ProxyId proxy) {
+    const auto it = confirmedBy_.find(proxy);
+    if (it == confirmedBy_.end()) return;
+    confirmed_ -= it->second;
+    confirmedBy_.erase(it);
+  }
+  void confirm(ProxyId proxy, int mark) {
+    const auto it = confirmedBy_.find(proxy);
+    const auto by = orderedBy_.find(mark);
+    if (it == confirmedBy_.end() || by == orderedBy_.end() || by->second <= it->second) return;
+    confirmed_ += by->second - it->second;
+    it->second = by->second;
+  }
+  int nextMark() const { return (mark_ + 1) % kMarks; }
+  // A message of so many lines to each proxy; returns its mark.
+  int send(Micros now, double lines, double slowestPace) {
+    queued_ = waiting(now, slowestPace) + lines * proxies();
+    sentAt_ = now;
+    ordered_ += lines;
+    messages_.push_back(now);
+    mark_ = nextMark();
+    orderedBy_[mark_] = ordered_;
+    return mark_;
+  }
+  // Lines that wait: what is not confirmed, but no more than the slowest pace leaves.
+  double waiting(Micros now, double slowestPace) const {
+    const double gone = static_cast<double>(now - sentAt_) / 1e6 * slowestPace;
+    return std::max(0.0, std::min(queued_ - gone, ordered_ * proxies() - confirmed_));
+  }
+  double messagesWithin(Micros now, Micros span) {
+    while (!messages_.empty() && messages_.front() <= now - span) messages_.pop_front();
+    return static_cast<double>(messages_.size());
   }
 
  private:
-  std::deque<Micros> at_;
+  static constexpr int kMarks = 65536;     // the wire's range
+  std::map<ProxyId, double> confirmedBy_;  // of the lines ordered of one proxy
+  std::map<int, double> orderedBy_;        // mark
+  double ordered_ = 0, confirmed_ = 0, queued_ = 0;
+  Micros sentAt_ = 0;
+  std::deque<Micros> messages_;
+  int mark_ = 0;
 };
 
 // The least of the values of a span; 0: none.
@@ -97,12 +141,23 @@
     answers.add(now, other.answers.at(now, memory), memory);
     latencySum.add(now, other.latencySum.at(now, memory), memory);
   }
+  // Whether there were answers.
+  bool add(Micros now, const ServerReport& r, Micros memory) {
+    const double all = static_cast<double>(r.tries), bad = static_cast<double>(std::min(r.failed, r.tries));
+    tries.add(now, all, memory);
+    failed.add(now, bad, memory);
+    if (r.latency <= 0 || all <= bad) return false;
+    answers.add(now, all - bad, memory);
+    latencySum.add(now, (all - bad) * static_cast<double>(r.latency), memory);
+    return true;
+  }
 };
 
 // What the way between two zones adds to latency and to the share of failed tries.
 struct Way {
   double extra = 0, lost = 0;
 };
+using Ways = std::map<std::pair<int, int>, Way>;  // by zone of the servers, of the proxies
 
 struct Server {
   ServerEntry entry;
@@ -133,6 +188,7 @@
   Micros hotJudgedAt = 0;
   Micros movedAt = 0, nextMoveAt = 0;  // of slices off it
   Micros gaveAt = 0;                   // of slices to it by refill
+  std::vector<double> levels;          // that its slices should have, by class
   double admitted = 1;                 // share of its work that is let in
   double allowance = 0;                // heat per listed weight that it may be sent; 0: as much as comes
   double pressedAt = 0;                // what it got when it was last found pressed
@@ -140,6 +196,22 @@
   int rises = 0;           // of the allowance, one after the other
   bool withdrawn = false;  // ordered out of all tables
 
+  // Sums up what was met, less what the ways add; returns the number of answers.
+  double sum(Micros now, Micros memory, const Ways& ways) {
+    double answers = 0, total = 0;
+    tally = {};
+    for (const auto& [zone, z] : seen) {
+      const auto it = ways.find({entry.zone, zone});
+      const Way way = it == ways.end() ? Way{} : it->second;
+      const double n = z.answers.at(now, memory), tries = z.tries.at(now, memory);
+      answers += n;
+      total += std::max(0.0, z.latencySum.at(now, memory) - n * way.extra);
+      tally.tries += tries;
+      tally.failed += std::max(0.0, z.failed.at(now, memory) - tries * way.lost);
+    }
+    latency = answers < 0.5 ? 0 : total / answers;
+    return answers;
+  }
   bool ready() const { return (listed || believed) && entry.state == ServerState::Ready; }
   bool usable() const { return ready() && !failing && proved && !withdrawn; }
 };
@@ -161,6 +233,20 @@
   int clearedBy = -1;
   Micros freeAt = 0;
 
+  // Takes an order as done.
+  void apply(const SetLine& line) {
+    leftHome = leftHome && line.server != home;
+    if (line.weight > 0)
+      sent[line.server] = line.weight;
+    else
+      sent.erase(line.server);
+  }
+  void apply(const Admit& admit) {
+    for (std::size_t c = 0; c < levels.size(); ++c) {
+      if ((admit.classMask & (1u << c)) != 0) sentLevels[c] = levels[c];
+    }
+  }
+
   // The orders that turn the table as sent into the table as decided: changed lines only.
   std::vector<Action> changedLines(TableId table) const {
     std::vector<Action> orders;
