--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -15,14 +15,14 @@
 constexpr Micros kSweepEvery = 250 * kMs, kReportsLag = 1 * kSecond;
 constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond, kLowestSpan = 30 * kSecond;
 constexpr double kWayMargin = 2, kWayLoss = 0.05, kFewAnswers = 4;
-// Health: a server fails from this share of tries, if that is so many times what the others show.
+// Health: failing from this share of tries, if that is so many times what the others show.
 constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kStillAnswers = 0.2;
 constexpr Micros kFailingHold = 8 * kSecond, kProbeFirst = 500 * kMs;
 // Placement. A cold server has cold keys too; among the nearly coolest the seed picks.
 constexpr double kColdDiscount = 0.85, kColdStrained = 0.7, kNearlyCoolest = 1.1, kNextToGo = 1.3;
 constexpr double kStandbyShare = 0.001, kTrialShare = 0.05, kRefillBelow = 0.8;
-constexpr Micros kRollingSpan = 10 * kSecond, kTargetAge = 2 * kSecond;
-constexpr Micros kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond;
+constexpr Micros kRollingSpan = 10 * kSecond, kTargetAge = 2 * kSecond, kRefillEvery = 1 * kSecond,
+                 kRefillAge = 5 * kSecond;
 // The hot rule of the design.
 constexpr int kHotReports = 3;
 constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
@@ -39,8 +39,6 @@
 constexpr double kSlowChannel = 4, kGatherShare = 0.25;
 constexpr Micros kGraceMargin = 300 * kMs, kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
-double seconds(Micros span) { return static_cast<double>(span) / kSecond; }
-
 }  // namespace
 
 struct Director::State {
@@ -53,13 +51,15 @@
   std::map<ServerId, Server> servers;
   std::map<TableId, Slice> slices;
   Channel channel;
-  bool booted = false, listFresh = false, subscribed = false;
-  Micros drainSeenAt = 0, askAgainAt = 0, askBackoff = kAskFirst;
+  bool listFresh = false, subscribed = false;
+  Micros rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
   double allHeat = 0, allWeight = 0;  // weight of usable servers, as if all were warm
   double peers = 1;                   // the whole fleet's heat against that of own slices
+  std::vector<double> works;          // by class
   std::vector<double> demand;         // heat of own slices by class
-  double usual = 0;                   // heat that a unit of a warm server's listed weight bears
+  Tally fleet;
+  double usual = 0;  // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
   std::vector<double> fleetLevels, fleetSent;  // by class, for all slices; a slice's own may be lower
   std::vector<std::size_t> byWorth;            // classes, least worth per work first
@@ -68,55 +68,40 @@
   Micros heardFrom = 0;  // the first reports of demand begin here
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {
+    // Work isn't told; the aim of a class stands for it: operators grant heavier requests more time.
+    for (const RequestClass& c : cfg.classes) works.push_back(static_cast<double>(c.aim) / kSecond);
     fleetSent = fleetLevels = std::vector<double>(cfg.classes.size(), 1);
     for (std::size_t c = 0; c < cfg.classes.size(); ++c) byWorth.push_back(c);
     std::sort(byWorth.begin(), byWorth.end(), [&](std::size_t a, std::size_t b) {
-      return cfg.classes[a].worth / work(a) < cfg.classes[b].worth / work(b);
+      return cfg.classes[a].worth / works[a] < cfg.classes[b].worth / works[b];
     });
   }
 
   // ---- Estimates: heat, latency, health ----
 
-  // Work isn't told; the aim of a class stands for it, since operators grant heavier requests more time.
-  double work(std::size_t cls) const { return seconds(cfg.classes[cls].aim); }
-
-  // Requests a second by class, counted over the time that reports cover: a supervisor that has just started
-  // would else take the first of them for all there is. A slice just given, of which no report has come yet,
-  // counts as a mean slice for a while: otherwise a whole batch of them lands on one server.
+  // Rates are counted over the time that reports cover: a supervisor just started would else take the first
+  // of them for all. A slice just given counts as a mean one for a while: else a batch of them lands on one
+  // server.
   void reckonHeat() {
-    int known = 0;
-    double sum = 0;
+    double known = 0, sum = 0;
     demand.assign(cfg.classes.size(), 0);
     for (auto& [t, s] : slices) {
       const Micros from = s.givenAt > heardFrom ? s.givenAt + kReportsLag : heardFrom;
-      const double seen = static_cast<double>(std::max(cfg.reportEvery, now - from)) / kDemandMemory;
-      const double memory = seconds(kDemandMemory) * (1 - std::exp(-seen));
-      s.heat = 0;
-      for (std::size_t c = 0; c < demand.size(); ++c) {
-        s.rates[c] = s.demand[c].at(now, kDemandMemory) / memory;
-        s.heat += s.rates[c] * work(c);
-        demand[c] += s.rates[c] * work(c);
-      }
+      s.reckon(now, std::max(cfg.reportEvery, now - from), kDemandMemory, works);
+      for (std::size_t c = 0; c < demand.size(); ++c) demand[c] += s.rates[c] * works[c];
       if (now - s.givenAt < kReportsLag + kDemandMemory / 2) continue;
       sum += s.heat;
-      ++known;
+      known += 1;
     }
-    const double meanSlice = sum > 0 ? sum / known : 1;
     for (auto& [t, s] : slices) {
-      const double known = static_cast<double>(now - s.givenAt - kReportsLag) / kDemandMemory;
-      const double trust = std::clamp(known, 0.0, 1.0);
-      s.heat = trust * s.heat + (1 - trust) * meanSlice;
+      const double trust = static_cast<double>(now - s.givenAt - kReportsLag) / kDemandMemory;
+      s.heat += (1 - std::clamp(trust, 0.0, 1.0)) * ((sum > 0 ? sum / known : 1) - s.heat);
     }
   }
 
-  double listedWeight(const Server& s) const {
-    return cfg.listedWeights && s.entry.weight > 0 ? s.entry.weight : 1;
-  }
+  double listedWeight(const Server& s) const { return s.listedWeight(cfg.listedWeights); }
   double weight(const Server& s) const { return s.strength * listedWeight(s); }
-
-  bool startedWithin(const Server& s, Micros span) const {
-    return s.entry.startedAt > 0 && now - s.entry.startedAt < span;
-  }
+  bool startedWithin(const Server& s, Micros span) const { return s.startedWithin(now, span); }
   bool isCold(const Server& s) const { return startedWithin(s, cfg.warmAfter); }
 
   // The part of its capacity that a server has now: a cold one ramps up evenly over the stated time.
@@ -127,8 +112,7 @@
   }
 
   // Projected heat per unit of usable weight. Peers are taken to send a changed server as much as this one
-  // does, but the first slice there counts alone: in a fleet that has grown, a slice and its double would fit
-  // nowhere.
+  // does, but the first slice there counts alone: in a grown fleet a slice and its double would fit nowhere.
   double load(const Server& s, double more = 0) const {
     const double doubled = s.changedAt > 0 && s.heat > 0 ? peers : 1;
     return (s.heat + s.hidden + more * doubled) / std::max(1e-9, weight(s) * ramp(s));
@@ -140,19 +124,11 @@
     return weights > 0 ? allHeat / weights : 0;
   }
 
-  // Load as a batch of evacuations weighs it. While servers drain one after the other those not yet replaced
-  // are likely to be next: a slice put there moves twice.
-  double lastingLoad(const Server& s, double more) const {
-    const bool rolling = drainSeenAt > 0 && now - drainSeenAt < kRollingSpan;
-    return load(s, more) * (rolling && s.changedAt == 0 ? kNextToGo : 1);
-  }
-
   // Time until the reports show what was ordered.
   Micros settle() const { return cfg.orderDelay + cfg.reportEvery + kReportsLag; }
 
-  // Guards against taking a bad way between zones for bad servers: what one zone's proxies meet at all
-  // servers of a zone beyond what the best placed proxies meet there is the way's. Holds for slow, lossy and
-  // cut ways; where all zones see a server alike nothing is taken off.
+  // Guards against taking a bad way between zones (slow, lossy or cut) for bad servers: what one zone's
+  // proxies meet at all servers of a zone beyond what the best placed proxies meet there is the way's.
   void reckonWays() {
     std::map<int, std::map<int, Zone>> met;  // zone of the servers, of the proxies
     for (auto& [id, s] : servers) {
@@ -160,10 +136,9 @@
     }
     ways.clear();
     for (const auto& [there, zones] : met) {
-      double least = 0, lost = 1;
+      double least = 1e18, lost = 1;
       for (const auto& [here, m] : zones) {
-        if (m.latency(now, kHealthMemory) > 0)
-          least = least == 0 ? m.latency(now, kHealthMemory) : std::min(least, m.latency(now, kHealthMemory));
+        if (const double l = m.latency(now, kHealthMemory); l > 0) least = std::min(least, l);
         lost = std::min(lost, m.tally(now, kHealthMemory).badShare());
       }
       for (const auto& [here, m] : zones) {
@@ -180,30 +155,32 @@
   void reckon() {
     reckonHeat();
     reckonWays();
-    double own = 0, weights = 0;
+    double weights = 0;
     std::map<ServerId, double> first, requests, aims;
-    allWeight = 0;
+    allHeat = allWeight = 0;
+    fleet = {};
     for (auto& [id, s] : servers) s.heat = s.hidden = 0;
     for (const auto& [t, s] : slices) {
       servers[s.home].heat += s.heat;
       first[s.firstHome] += s.heat;
-      own += s.heat;
+      allHeat += s.heat;
       for (std::size_t c = 0; c < s.rates.size(); ++c) {  // of what is let in: refused classes answer nothing
         const double let = std::min(s.sentLevels[c], fleetSent[c]) * s.rates[c];
         requests[s.home] += let;
-        aims[s.home] += let * work(c);
+        aims[s.home] += let * works[c];
       }
     }
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
       allWeight += s.usable() ? weight(s) : 0;
       const double answers = s.sum(now, kHealthMemory, ways);
-      if (answers >= kFewAnswers && s.lowestAt < s.reportedAt) s.latencies.add(now, s.latency, kLowestSpan);
-      s.lowestAt = now;
+      fleet.tries += s.tally.tries;
+      fleet.failed += s.tally.failed;
+      if (answers >= kFewAnswers) s.latencies.add(now, s.latency, kLowestSpan);
       s.pressure = aims[id] > 0 ? s.latency / (aims[id] / requests[id] * kSecond) : 0;
     }
     peers = cfg.slices > 0 && !slices.empty() ? static_cast<double>(cfg.slices) / slices.size() : 1;
-    allHeat = own;
+    const double own = allHeat;
     for (auto& [id, s] : servers) {
       if (weights <= 0 || peers <= 1) break;
       const double fair = own * peers * weight(s) / weights;
@@ -216,11 +193,6 @@
   // connections. Judged by answers against tries where most others do well. A slow server that refuses is
   // overloaded, not broken: moving its load elsewhere would only pass that on.
   void judgeHealth() {
-    Tally all;
-    for (const auto& [id, s] : servers) {
-      all.tries += s.tally.tries;
-      all.failed += s.tally.failed;
-    }
     for (auto& [id, s] : servers) {
       if (s.failing && now >= s.failingUntil) {
         s.failing = false;
@@ -229,12 +201,16 @@
         s.changedAt = now;
         log("try " + id + " again");
       }
+      if (cfg.probesAllowed && !s.proved && s.ready() && now >= s.probeAt) {
+        out.push_back(Probe{id});
+        s.probeAt = now + std::max(kProbeFirst, now - s.seenAt);
+      }
       const Tally own = s.tally;
       s.leftAt = s.ready() ? 0 : s.leftAt > 0 ? s.leftAt : now;
       // A list may be wrong: what it drops stays, as far as nothing binds, until its answers stop as well.
       s.believed = cfg.goneIsAdvice && own.tries > 0 && own.badShare() < 1 - kStillAnswers && !s.failing;
       if (!s.usable() || own.tries < kFewTries || own.badShare() < kBadShare) continue;
-      const Tally others{all.tries - own.tries, all.failed - own.failed};
+      const Tally others{fleet.tries - own.tries, fleet.failed - own.failed};
       if (own.badShare() < kWorseThanFleet * others.badShare()) continue;
       if (own.badShare() < 1 - kStillAnswers && s.pressure > kRelaxed) continue;
       s.failing = true;
@@ -252,7 +228,9 @@
   ServerId coolest(const Slice& slice, Allowed allowed) {
     std::vector<std::pair<double, ServerId>> loads;
     for (const auto& [id, s] : servers) {
-      if (id != slice.home && allowed(s)) loads.emplace_back(lastingLoad(s, slice.heat), id);
+      // In a rolling deploy those not yet replaced are likely to be next: a slice put there moves twice.
+      const double lasting = now < rollingUntil && s.changedAt == 0 ? kNextToGo : 1;
+      if (id != slice.home && allowed(s)) loads.emplace_back(lasting * load(s, slice.heat), id);
     }
     if (loads.empty()) return {};
     const double most = std::min_element(loads.begin(), loads.end())->first * kNearlyCoolest;
@@ -306,28 +284,19 @@
     }
   }
 
-  // Guards against listed servers that are none: until one has answered it counts for nothing. It is probed,
-  // or where that is not allowed it is given one slice, while few slices are on trial.
+  // Guards against listed servers that are none: until one has answered it counts for nothing. It is probed
+  // (above), or where that is not allowed it is given one slice, while few slices are on trial.
   bool mayTry(const Server& s) const {
     if (cfg.probesAllowed || s.proved || !s.ready() || s.failing || s.heat > 0) return false;
-    std::size_t trials = 0;
+    double trials = 0;
     for (const auto& [id, v] : servers) trials += !v.proved && v.heat > 0;
-    return trials <= kTrialShare * slices.size();
-  }
-  void probe() {
-    for (auto& [id, s] : servers) {
-      if (!cfg.probesAllowed || s.proved || !s.ready() || now < s.probeAt) continue;
-      s.probeAt = now + std::max(kProbeFirst, now - s.seenAt);
-      out.push_back(Probe{id});
-    }
+    return trials <= kTrialShare * static_cast<double>(slices.size());
   }
-
   // Departure: the design leaves a returned server idle until another is hot. One that changed and stands
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
   void refill() {
     const double mean = meanLoad();
-    // Just started itself: it cannot know yet what servers bear.
-    if (heardFrom == 0 || now - heardFrom < kSettledStart) return;
+    if (heardFrom == 0 || now - heardFrom < kSettledStart) return;  // started itself: knows no loads yet
     for (auto& [id, r] : servers) {
       if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery || startedWithin(r, kRefillAge))
         continue;
@@ -338,13 +307,12 @@
         if (donor == nullptr || load(d.second) > load(donor->second)) donor = &d;
       }
       if (donor == nullptr) return;
-      for (TableId t : byHalfOfHottest(donor->first)) {
-        if (load(r, slices[t].heat) > mean) continue;
-        move(t, id, "refill");
-        r.gaveAt = now;
-        donor->second.nextMoveAt = now + kRefillEvery;
-        break;
-      }
+      const auto fits = [&, &to = id, &r = r](const Slice& t) {
+        return load(r, t.heat) > mean ? ServerId() : to;
+      };
+      if (!shed(donor->first, "refill", fits)) continue;
+      r.gaveAt = now;
+      donor->second.nextMoveAt = now + kRefillEvery;
     }
   }
 
@@ -374,16 +342,13 @@
     for (TableId t : lacking) {
       Slice& s = slices[t];
       std::map<ServerId, int>& used = backs[s.home];
-      std::tuple<int, bool, double> best;
-      ServerId standby;
+      std::tuple<int, bool, double, ServerId> best{1 << 30, true, 0, {}};
       for (const auto& [id, v] : servers) {
         if (id == s.home || !v.usable() || isCold(v)) continue;
-        const int times = used.count(id) > 0 ? used[id] : 0;
-        const auto cost = std::make_tuple(times, v.entry.zone == servers[s.home].entry.zone, rng.uniform());
-        if (!standby.empty() && cost >= best) continue;
-        best = cost;
-        standby = id;
+        const bool near = v.entry.zone == servers[s.home].entry.zone;
+        best = std::min(best, {used.count(id) > 0 ? used[id] : 0, near, rng.uniform(), id});
       }
+      const ServerId standby = std::get<3>(best);
       if (standby.empty()) continue;
       s.want[standby] = s.want[s.home] * kStandbyShare;
       ++used[standby];
@@ -392,17 +357,14 @@
 
   // ---- The hot rule ----
 
-  // Departure: weights are not listed, or roughly. A server that is pressed at fair heat while most are not
-  // is weaker than listed, whatever the cause; it then counts for less until it is at ease for long. Holds
-  // against slow machines, neighbours and costly keys alike; could harm where a short trouble makes many look
-  // weak in turn.
+  // Departure: a server pressed at fair heat while most are not is weaker than listed, whatever the cause (a
+  // slow machine, a neighbour, costly keys); it counts for less until it is at ease for long. Could harm
+  // where a short trouble makes many look weak in turn.
   void judgeStrength() {
-    std::vector<double> pressures;
-    for (const auto& [id, s] : servers) {
-      if (s.usable()) pressures.push_back(s.pressure);
-    }
-    std::sort(pressures.begin(), pressures.end());
-    if (pressures.empty() || pressures[pressures.size() / 2] > kRelaxed || strained) return;
+    std::vector<double> all;
+    for (const auto& [id, s] : servers)
+      if (s.usable()) all.push_back(s.pressure);
+    if (strained || median(all) > kRelaxed) return;
     const double mean = meanLoad();
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s) || now < std::max(s.strengthAt, s.movedAt) + settle()) continue;
@@ -414,8 +376,7 @@
     }
   }
 
-  // Design item 3: hot after some reports running that pass both tests, heard since the last move off the
-  // server.
+  // Design item 3: hot after some reports running that pass both tests, heard since the last move off it.
   void judgeHot() {
     for (auto& [id, s] : servers) {
       if (s.reportedAt <= s.hotJudgedAt || now - s.hotJudgedAt < cfg.reportEvery) continue;
@@ -449,6 +410,18 @@
     return tables;
   }
 
+  // One slice leaves a server, in that order, where a target is found.
+  template <class Target>
+  bool shed(const ServerId& from, const char* why, Target target) {
+    for (const TableId t : byHalfOfHottest(from)) {
+      const ServerId to = target(slices[t]);
+      if (to.empty()) continue;
+      move(t, to, why);
+      return true;
+    }
+    return false;
+  }
+
   // Design items 4 and 7 to 9: a hot server loses one slice to a cool one under the mean, then waits.
   void coolHot() {
     std::size_t open = 0, hot = 0;
@@ -456,44 +429,38 @@
       open += s.usable();
       hot += s.usable() && isHot(s);
     }
-    if (hot == 0 || hot == open || strained) return;
+    if (hot == open || strained) return;
     const double mean = meanLoad();
     for (auto& [id, s] : servers) {
       if (!s.usable() || !isHot(s) || now < s.nextMoveAt) continue;
-      for (TableId t : byHalfOfHottest(id)) {
-        const ServerId to = coolest(slices[t], [&](const Server& c) {
+      const bool left = shed(id, "hot", [&](const Slice& t) {
+        return coolest(t, [&](const Server& c) {
           return c.usable() && !isHot(c) && load(c) < mean && !startedWithin(c, kSettledStart) &&
-                 slices[t].heat <= allHeat * weight(c) / allWeight;
+                 t.heat <= allHeat * weight(c) / allWeight;
         });
-        if (to.empty()) continue;
-        move(t, to, "hot");
-        s.hotRuns = 0;
-        s.movedAt = now;
-        s.nextMoveAt = now + static_cast<Micros>(kPeriod * (1 + 2 * rng.uniform()));
-        break;
-      }
+      });
+      if (!left) continue;
+      s.hotRuns = 0;
+      s.movedAt = now;
+      s.nextMoveAt = now + static_cast<Micros>(kPeriod * (1 + 2 * rng.uniform()));
     }
   }
 
   // ---- Admission and retries ----
 
-  // Each server's allowance is heat per unit of listed weight. It is learned: a pressed server's is set a
-  // step under what it now gets, and raised in growing steps while it is relaxed until it binds no more.
-  // Being a density it also says at once, before any report, what a server may take that has just got slices.
-  // While pressure is high a passing cut lets the queue drain. A cold server is held to what warm ones bear,
-  // by its ramp, whoever sends the load.
+  // Each server's allowance, heat per unit of listed weight, is learned: a pressed server's is set a step
+  // under what it now gets, and raised in growing steps while it is relaxed until it binds no more. So it
+  // also says at once what a server may take that has just got slices. While pressure is high a passing cut
+  // lets the queue drain. A cold server is held to what warm ones bear, by its ramp, whoever sends the load.
   void admit() {
-    // A supervisor that has just started knows no densities yet; until then only the passing cut acts.
-    const bool young = heardFrom == 0 || now - heardFrom < kDemandMemory / 2;
     std::size_t open = 0, bound = 0;
     double taken = 0, offered = 0, weights = 0;
-    Tally all;
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s)) continue;
       const double density = (s.heat + s.hidden) / listedWeight(s);
       const double bad = s.tally.badShare();
       const double free = s.allowance > 0 ? std::min(s.allowance, density) : density;
-      if (!young && now - s.allowedAt > settle()) {
+      if (now - s.allowedAt > settle()) {
         if (s.pressure > kOverloaded || (bad > kRefusing && s.pressure > kRelaxed)) {
           if (s.rises > 0 || s.allowance == 0)
             s.pressedAt = free * (strained ? std::max(kAnsweredLeast, 1 - bad) : 1);
@@ -513,26 +480,23 @@
       }
       ++open;
       bound += s.allowance > 0;
-      all.tries += s.tally.tries;
-      all.failed += s.tally.failed;
       taken += s.admitted * (s.heat + s.hidden);
       offered += s.heat + s.hidden;
       weights += listedWeight(s);
     }
-    // Under strain it rises slowly: what a server gets that was warm or let off just now is not yet what it
-    // bears.
-    const double most = usual * (1 + kUsualRise * seconds(now - usualAt));
+    // Under strain it rises slowly: what a server gets that turned warm just now is not yet what it bears.
+    const double most = usual * (1 + kUsualRise * static_cast<double>(now - usualAt) / kSecond);
     if (weights > 0) usual = strained && usual > 0 ? std::min(taken / weights, most) : taken / weights;
     usualAt = now;
-    strained = 3 * bound > open || all.badShare() > kStrainedBadShare;
+    strained = 3 * bound > open || fleet.badShare() > kStrainedBadShare;
     for (auto& [id, s] : servers) {
       const double density = (s.heat + s.hidden) / (listedWeight(s) * ramp(s));
       const double haste = std::clamp(1 - kHaste * (s.pressure - kOverloaded), kHasteLeast, 1.0);
-      const double allowed = isCold(s) ? usual : haste * (young && haste < 1 ? density : s.allowance);
+      const double allowed = isCold(s) ? usual : haste * s.allowance;
       if (strained && isCold(s) && density > allowed)
         s.allowance = s.pressedAt = usual;  // from where it goes on when warm
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
-      // Nor does a cold server let in a larger share than the warm ones do while work is short.
+      // Nor does a cold server let in a larger share than the warm ones then do.
       if (strained && isCold(s) && offered > 0) s.admitted = std::min(s.admitted, taken / offered);
     }
     setLevels();
@@ -561,7 +525,7 @@
       for (std::size_t c = 0; c < demand.size(); ++c) {
         const double level = servers[s.home].levels[c];
         exceptions += level < 1;
-        if (demand[c] > 0) mean[c] += level * s.rates[c] * work(c) / demand[c];
+        if (demand[c] > 0) mean[c] += level * s.rates[c] * works[c] / demand[c];
       }
     }
     const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max(1.0, channel.proxies()) - head();
@@ -593,8 +557,7 @@
   // pace at which it would have gone even so (proxies that stand still confirm late).
   double linesQueued() const { return channel.waiting(now, cfg.linesPerSecond / kSlowChannel); }
 
-  // Lines that a message to each proxy may hold now, for orders of an urgency; levels for all and the mark
-  // ride along.
+  // Lines that a message to each proxy may hold now; levels for all and the mark ride along.
   double head() const { return cfg.linesPerMessage + static_cast<double>(cfg.classes.size()) + 1; }
   double room(Urgency urgency) const {
     const double lines = cfg.linesWaitingMax * kQueueShare[urgency] - linesQueued();
@@ -620,31 +583,20 @@
   }
 
   bool leaving(const Server& s) const { return s.failing || (listFresh && !s.ready()); }
-  bool open(const ServerId& id) const {
-    const auto v = servers.find(id);
-    return v != servers.end() && !v->second.withdrawn && !leaving(v->second);
-  }
+  bool open(const ServerId& id) const { return !servers.at(id).withdrawn && !leaving(servers.at(id)); }
 
   // Departure: what leaves is withdrawn from all tables by one order, once its slices have another line or
   // the grace runs out; its lines are tidied away later and before it is let in again.
   std::vector<Action> withdrawals() const {
-    std::set<ServerId> held, needed, stale;
-    for (const auto& [t, s] : slices) {
-      bool covered = false;
-      for (const auto& [id, w] : s.sent) covered = covered || open(id);
-      for (const auto& [id, w] : s.sent) {
-        held.insert(id);
-        if (!covered) needed.insert(id);
-        if (s.want.count(id) == 0) stale.insert(id);
-      }
-    }
+    const Uses uses = usesOf(slices, [&](const ServerId& id) { return open(id); });
     const Micros way = cfg.orderDelayMax + static_cast<Micros>(linesQueued() / cfg.linesPerSecond * kSecond);
     std::vector<Action> orders;
     for (const auto& [id, s] : servers) {
-      const bool leave = leaving(s) && !cfg.oneOwner && (cfg.slices > 0 ? held.count(id) > 0 : allWeight > 0);
+      const bool held = cfg.slices > 0 ? uses.held.count(id) > 0 : allWeight > 0;
+      const bool leave = held && leaving(s) && !cfg.oneOwner;
       const bool due = !s.ready() && now + way + kGraceMargin > s.leftAt + cfg.drainGrace;
-      const bool stay = cfg.slices > 0 ? stale.count(id) > 0 : startedWithin(s, kSettledStart);
-      const bool wanted = s.withdrawn ? leave || stay : leave && (due || needed.count(id) == 0);
+      const bool stay = cfg.slices > 0 ? uses.stale.count(id) > 0 : startedWithin(s, kSettledStart);
+      const bool wanted = s.withdrawn ? leave || stay : leave && (due || uses.needed.count(id) == 0);
       const bool again = wanted && !rulesSent;  // for a proxy that joined since
       if (wanted != s.withdrawn || again) orders.push_back(Withdraw{id, wanted});
     }
@@ -656,12 +608,11 @@
   void addLines(TableId t, const Slice& s, std::vector<Piece>& pieces) const {
     Piece home{s.leftHome ? kEvacuation : kMove, -s.heat, t, {}}, rest{kStandby, -s.heat, t, {}};
     bool bare = true;
-    for (const auto& [id, w] : s.sent)
-      bare = bare && !(open(id) || (servers.count(id) && servers.at(id).ready()));
+    for (const auto& [id, w] : s.sent) bare = bare && !open(id) && !servers.at(id).ready();
     for (const Action& a : s.changedLines(t)) {
       const auto& line = std::get<SetLine>(a);
-      const auto v = servers.find(line.server);
-      if (line.weight == 0 && v != servers.end() && leaving(v->second) && !v->second.withdrawn) continue;
+      const Server& v = servers.at(line.server);
+      if (line.weight == 0 && leaving(v) && !v.withdrawn) continue;
       const bool first = line.weight > 0 ? line.server == s.home : open(line.server);
       (first ? home : rest).orders.push_back(a);
       if (line.weight == 0 && !first) rest.urgency = kMove;
@@ -688,39 +639,33 @@
       if (!levels.empty()) pieces.push_back({kLevel, -s.heat, t, std::move(levels)});
     }
     if (!rulesSent || strained != strainedSent || fleetLevels != fleetSent) {
-      std::map<std::pair<SecondTry, double>, unsigned> masks;
+      pieces.push_back({kLevel, -allHeat, kAllTables, {}});
       for (std::size_t c = 0; c < cfg.classes.size(); ++c)
-        masks[{secondTry(cfg.classes[c]), fleetLevels[c]}] |= 1u << c;
-      std::vector<Action> rules;
-      for (const auto& [how, mask] : masks) rules.push_back(Admit{kAllTables, mask, how.second, how.first});
-      pieces.push_back({kLevel, -allHeat, kAllTables, std::move(rules)});
+        pieces.back().orders.push_back(Admit{kAllTables, 1u << c, fleetLevels[c], secondTry(cfg.classes[c])});
     }
     const double pulls = static_cast<double>(withdrawals().size());
     if (pieces.empty() && pulls == 0) return;
-    std::sort(pieces.begin(), pieces.end(), [](const Piece& a, const Piece& b) {
-      return std::tie(a.urgency, a.order, a.table) < std::tie(b.urgency, b.order, b.table);
-    });
+    std::sort(pieces.begin(), pieces.end());
     const Urgency first = pulls > 0 ? kMust : pieces.front().urgency;
-    double lines = 0, wanted = pulls;
+    double wanted = pulls;
     for (const Piece& p : pieces) wanted += p.urgency == first ? static_cast<double>(p.orders.size()) : 0;
     if (!mayWrite(first, wanted)) return;
     std::vector<Action> orders;
-    for (Piece& p : pieces) {
-      const double more = static_cast<double>(p.orders.size());
-      if (lines + more > room(p.urgency) && (lines > 0 || linesQueued() > 0)) break;
-      lines += more;
-      for (const Action& order : p.orders) note(order);
-      orders.insert(orders.end(), p.orders.begin(), p.orders.end());
-    }
-    for (const Action& order : withdrawals()) {
-      if (lines + 1 > room(kMust) && (lines > 0 || linesQueued() > 0)) break;
-      lines += 1;
-      note(order);
-      orders.push_back(order);
-    }
+    const auto put = [&](Urgency urgency, const std::vector<Action>& more) {
+      const double lines = static_cast<double>(orders.size() + more.size());
+      if (lines > room(urgency) && (!orders.empty() || linesQueued() > 0)) return false;
+      for (const Action& order : more) note(order);
+      orders.insert(orders.end(), more.begin(), more.end());
+      return true;
+    };
+    for (const Piece& p : pieces) {
+      if (!put(p.urgency, p.orders)) break;
+    }
+    for (const Action& order : withdrawals()) put(kMust, {order});
     if (orders.empty()) return;
-    orders.push_back(
-        Mark{channel.send(now, head() + lines, cfg.linesPerSecond / kSlowChannel), cfg.oneOwner});
+    orders.push_back(Mark{
+        channel.send(now, head() + static_cast<double>(orders.size()), cfg.linesPerSecond / kSlowChannel),
+        cfg.oneOwner});
     routineAt = now;
     out.insert(out.end(), orders.begin(), orders.end());
   }
@@ -758,22 +703,12 @@
     }
     for (const ServerEntry& e : news.entries) {
       Server& s = servers[e.server];
-      const Micros before = s.entry.startedAt;
-      if (news.mode != ListMode::Cached && e.startedAt > before && e.state == ServerState::Ready) {
-        Server fresh;
-        fresh.changedAt = fresh.movedAt = now;
-        fresh.withdrawn = s.withdrawn;
-        fresh.proved = s.proved;
-        std::swap(s, fresh);
+      if (news.mode != ListMode::Cached && e.startedAt > s.entry.startedAt && e.state == ServerState::Ready) {
+        s.restart(now);
       }
-      const bool drained = s.entry.state == ServerState::Draining;
-      if (s.seenAt == 0) s.seenAt = now;
-      if (news.mode == ListMode::Cached) s.proved = true;
-      s.entry = e;
-      s.entry.startedAt = std::max(before, e.startedAt);
-      s.listed = e.state != ServerState::Gone;
-      if (!s.listed && cfg.goneIsAdvice) s.entry.state = drained ? ServerState::Draining : ServerState::Ready;
-      if (e.state == ServerState::Draining) drainSeenAt = now;
+      s.take(e, now, cfg.goneIsAdvice);
+      s.proved = s.proved || news.mode == ListMode::Cached;
+      if (e.state == ServerState::Draining) rollingUntil = now + kRollingSpan;
     }
     if (news.mode == ListMode::Cached) return;
     listFresh = true;
@@ -819,13 +754,7 @@
 
   void on(const SliceCharge& e) {
     slices.erase(e.slice);
-    if (!e.given) return;
-    Slice& s = slices[e.slice];
-    s.givenAt = s.movedAt = now;
-    s.demand.resize(cfg.classes.size());
-    s.rates.resize(cfg.classes.size());
-    s.levels.assign(cfg.classes.size(), 1);
-    s.sentLevels = s.levels;
+    if (e.given) slices.emplace(e.slice, Slice(now, cfg.classes.size()));
   }
 
   // The store's tables are taken as they are.
@@ -835,9 +764,8 @@
     Slice& s = it->second;
     servers[e.server].proved = true;
     s.sent[e.server] = s.want[e.server] = e.weight;
-    const bool better = s.home.empty() || e.weight > s.want[s.home] ||
-                        (e.weight == s.want[s.home] && !servers[s.home].ready());
-    if (better) s.home = s.firstHome = e.server;
+    const double held = s.home.empty() ? 0 : s.want[s.home];
+    if (e.weight > held || (e.weight == held && !servers[s.home].ready())) s.home = s.firstHome = e.server;
   }
 
   void on(const ProbeResult& r) {
@@ -857,7 +785,6 @@
     }
     reckon();
     judgeHealth();
-    probe();
     evacuate();
     judgeStrength();
     judgeHot();
@@ -877,10 +804,9 @@
 
 std::vector<Action> Director::handle(Micros now, const std::vector<Event>& events) {
   State& st = *state_;
+  bool due = false, sweep = st.now == 0;
   st.now = now;
   st.out.clear();
-  bool due = false, sweep = !st.booted;
-  st.booted = true;
   for (const Event& event : events) {
     std::visit([&](const auto& e) { st.on(e); }, event);
     sweep = sweep || std::holds_alternative<TimerFired>(event);
--- a/src/state.h
+++ b/src/state.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -170,7 +171,6 @@
 
   std::map<int, Zone> seen;  // by zone of the proxies
   Lowest latencies;
-  Micros lowestAt = 0;
   Micros reportedAt = 0;
 
   // Reckoned anew for each decision.
@@ -212,6 +212,29 @@
     latency = answers < 0.5 ? 0 : total / answers;
     return answers;
   }
+  double listedWeight(bool listed) const { return listed && entry.weight > 0 ? entry.weight : 1; }
+  bool startedWithin(Micros now, Micros span) const {
+    return entry.startedAt > 0 && now - entry.startedAt < span;
+  }
+  // A new life: nothing of the former one holds but what was ordered.
+  void restart(Micros now) {
+    Server fresh;
+    fresh.changedAt = fresh.movedAt = now;
+    fresh.seenAt = seenAt;
+    fresh.withdrawn = withdrawn;
+    fresh.proved = proved;
+    std::swap(*this, fresh);
+  }
+  // What the list says. Where gone is advice, what is only dropped keeps the state that it was last seen in.
+  void take(const ServerEntry& e, Micros now, bool goneIsAdvice) {
+    const Micros started = std::max(entry.startedAt, e.startedAt);
+    const ServerState before = entry.state;
+    entry = e;
+    entry.startedAt = started;
+    listed = e.state != ServerState::Gone;
+    if (!listed && goneIsAdvice) entry.state = before;
+    if (seenAt == 0) seenAt = now;
+  }
   bool ready() const { return (listed || believed) && entry.state == ServerState::Ready; }
   bool usable() const { return ready() && !failing && proved && !withdrawn; }
 };
@@ -219,6 +242,15 @@
 using Lines = std::map<ServerId, double>;
 
 struct Slice {
+  Slice() = default;
+  Slice(Micros now, std::size_t classes)
+      : demand(classes),
+        rates(classes),
+        levels(classes, 1),
+        sentLevels(classes, 1),
+        movedAt(now),
+        givenAt(now) {}
+
   Lines want, sent;            // the table as decided, and as last ordered or read from the store
   ServerId home;               // the line that carries the slice
   ServerId firstHome;          // where it was when this supervisor got it
@@ -233,6 +265,17 @@
   int clearedBy = -1;
   Micros freeAt = 0;
 
+  // Rates over a memory of which only what was seen counts, and their heat, with each class's work.
+  void reckon(Micros now, Micros seen, Micros memory, const std::vector<double>& works) {
+    const double full = static_cast<double>(memory);
+    const double span = full / 1e6 * (1 - std::exp(-static_cast<double>(seen) / full));
+    heat = 0;
+    for (std::size_t c = 0; c < rates.size(); ++c) {
+      rates[c] = demand[c].at(now, memory) / span;
+      heat += rates[c] * works[c];
+    }
+  }
+
   // Takes an order as done.
   void apply(const SetLine& line) {
     leftHome = leftHome && line.server != home;
@@ -268,6 +311,34 @@
   double order;
   TableId table;
   std::vector<Action> orders;
+
+  bool operator<(const Piece& other) const {
+    return std::tie(urgency, order, table) < std::tie(other.urgency, other.order, other.table);
+  }
+};
+
+// Servers in the tables as sent: in any; in one that has no open line; in one that no longer wants them.
+struct Uses {
+  std::set<ServerId> held, needed, stale;
 };
+template <class Open>
+Uses usesOf(const std::map<TableId, Slice>& slices, Open open) {
+  Uses uses;
+  for (const auto& [t, s] : slices) {
+    bool covered = false;
+    for (const auto& [id, w] : s.sent) covered = covered || open(id);
+    for (const auto& [id, w] : s.sent) {
+      uses.held.insert(id);
+      if (!covered) uses.needed.insert(id);
+      if (s.want.count(id) == 0) uses.stale.insert(id);
+    }
+  }
+  return uses;
+}
+
+inline double median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values.empty() ? 0 : values[values.size() / 2];
+}
 
 }  // namespace peargrade
