--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -20,9 +20,9 @@
 constexpr Micros kFailingHold = 8 * kSecond, kProbeFirst = 500 * kMs;
 // Placement. A cold server has cold keys too; among the nearly coolest the seed picks.
 constexpr double kColdDiscount = 0.85, kColdStrained = 0.7, kNearlyCoolest = 1.1, kNextToGo = 1.3;
-constexpr double kStandbyShare = 0.001, kTrialShare = 0.05, kRefillBelow = 0.8;
-constexpr Micros kRollingSpan = 10 * kSecond, kTargetAge = 2 * kSecond, kRefillEvery = 1 * kSecond,
-                 kRefillAge = 5 * kSecond;
+constexpr double kStandbyShare = 0.001, kTrialShare = 0.1, kRefillBelow = 0.8;
+constexpr Micros kRollingSpan = 10 * kSecond, kLeftSpan = 30 * kSecond, kTargetAge = 2 * kSecond,
+                 kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond;
 // The hot rule of the design.
 constexpr int kHotReports = 3;
 constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
@@ -54,10 +54,11 @@
   bool listFresh = false, subscribed = false;
   Micros rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
-  double allHeat = 0, allWeight = 0;  // weight of usable servers, as if all were warm
-  double peers = 1;                   // the whole fleet's heat against that of own slices
-  std::vector<double> works;          // by class
-  std::vector<double> demand;         // heat of own slices by class
+  double allHeat = 0, allWeight = 0;            // weight of usable servers, as if all were warm
+  double onTrial = 0, newcomers = 0, left = 0;  // slices on unproved servers; those; servers that left
+  double peers = 1;                             // the whole fleet's heat against that of own slices
+  std::vector<double> works;                    // by class
+  std::vector<double> demand;                   // heat of own slices by class
   Tally fleet;
   double usual = 0;  // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
@@ -149,21 +150,22 @@
     }
   }
 
-  // Heat by server, from the tables as decided, so that moves in flight count at their target. What peers'
-  // slices bring is unseen: the store's first tables are taken as fair, so it is what own slices lacked there
-  // at first; on a server that changed since, peers are taken to have done as this supervisor did.
+  // Heat by server, from the tables as decided. What peers' slices bring is unseen: the store's first tables
+  // are taken as fair, so it is what own slices lacked there; on a server that changed since, peers did as
+  // this one.
   void reckon() {
     reckonHeat();
     reckonWays();
     double weights = 0;
     std::map<ServerId, double> first, requests, aims;
-    allHeat = allWeight = 0;
+    allHeat = allWeight = onTrial = newcomers = left = 0;
     fleet = {};
     for (auto& [id, s] : servers) s.heat = s.hidden = 0;
     for (const auto& [t, s] : slices) {
       servers[s.home].heat += s.heat;
       first[s.firstHome] += s.heat;
       allHeat += s.heat;
+      onTrial += !servers[s.home].proved;
       for (std::size_t c = 0; c < s.rates.size(); ++c) {  // of what is let in: refused classes answer nothing
         const double let = std::min(s.sentLevels[c], fleetSent[c]) * s.rates[c];
         requests[s.home] += let;
@@ -173,6 +175,8 @@
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
       allWeight += s.usable() ? weight(s) : 0;
+      newcomers += s.ready() && !s.proved;
+      left += s.leftAt > 0 && now - s.leftAt < kLeftSpan;
       const double answers = s.sum(now, kHealthMemory, ways);
       fleet.tries += s.tally.tries;
       fleet.failed += s.tally.failed;
@@ -189,9 +193,8 @@
     }
   }
 
-  // Guards against whatever makes a server useless while it is listed: quick errors, refused or silent
-  // connections. Judged by answers against tries where most others do well. A slow server that refuses is
-  // overloaded, not broken: moving its load elsewhere would only pass that on.
+  // Guards against whatever makes a listed server useless: quick errors, refused or silent connections, where
+  // most others do well. A slow server that refuses is overloaded, not broken: moves would only pass that on.
   void judgeHealth() {
     for (auto& [id, s] : servers) {
       if (s.failing && now >= s.failingUntil) {
@@ -209,7 +212,7 @@
       s.leftAt = s.ready() ? 0 : s.leftAt > 0 ? s.leftAt : now;
       // A list may be wrong: what it drops stays, as far as nothing binds, until its answers stop as well.
       s.believed = cfg.goneIsAdvice && own.tries > 0 && own.badShare() < 1 - kStillAnswers && !s.failing;
-      if (!s.usable() || own.tries < kFewTries || own.badShare() < kBadShare) continue;
+      if (!s.ready() || s.failing || own.tries < kFewTries || own.badShare() < kBadShare) continue;
       const Tally others{fleet.tries - own.tries, fleet.failed - own.failed};
       if (own.badShare() < kWorseThanFleet * others.badShare()) continue;
       if (own.badShare() < 1 - kStillAnswers && s.pressure > kRelaxed) continue;
@@ -251,6 +254,7 @@
     Server& target = servers[to];
     target.heat += s.heat;
     if (target.changedAt > 0) target.hidden += s.heat * (peers - 1);
+    onTrial += !target.proved;
     s.home = to;
     s.movedAt = now;
   }
@@ -285,12 +289,10 @@
   }
 
   // Guards against listed servers that are none: until one has answered it counts for nothing. It is probed
-  // (above), or where that is not allowed it is given one slice, while few slices are on trial.
+  // (above); where that is not allowed and more are new than have left, few slices are on trial.
   bool mayTry(const Server& s) const {
-    if (cfg.probesAllowed || s.proved || !s.ready() || s.failing || s.heat > 0) return false;
-    double trials = 0;
-    for (const auto& [id, v] : servers) trials += !v.proved && v.heat > 0;
-    return trials <= kTrialShare * static_cast<double>(slices.size());
+    const double most = newcomers > left ? kTrialShare * static_cast<double>(slices.size()) : 1e9;
+    return !cfg.probesAllowed && !s.proved && s.ready() && !s.failing && onTrial < most;
   }
   // Departure: the design leaves a returned server idle until another is hot. One that changed and stands
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
@@ -316,9 +318,8 @@
     }
   }
 
-  // Departure: each slice keeps a standby line of very small weight, so that a proxy has where to go at once
-  // when the home is down, refuses or is out of its reach: in another zone if there is one, and the standbys
-  // of one home spread over many servers. Acts from the start, except where a slice may have one owner only.
+  // Departure: each slice keeps a standby line of very small weight, so that a proxy has where to go when the
+  // home is down, refuses or is out of reach: in another zone, the standbys of one home spread over many.
   void standBy() {
     if (cfg.oneOwner) return;
     std::map<ServerId, std::map<ServerId, int>> backs;  // by home, how many of its slices each one backs
@@ -455,6 +456,7 @@
   void admit() {
     std::size_t open = 0, bound = 0;
     double taken = 0, offered = 0, weights = 0;
+    Tally warm;
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s)) continue;
       const double density = (s.heat + s.hidden) / listedWeight(s);
@@ -480,15 +482,16 @@
       }
       ++open;
       bound += s.allowance > 0;
+      warm.tries += s.tally.tries;
+      warm.failed += s.tally.failed;
       taken += s.admitted * (s.heat + s.hidden);
       offered += s.heat + s.hidden;
       weights += listedWeight(s);
     }
-    // Under strain it rises slowly: what a server gets that turned warm just now is not yet what it bears.
     const double most = usual * (1 + kUsualRise * static_cast<double>(now - usualAt) / kSecond);
     if (weights > 0) usual = strained && usual > 0 ? std::min(taken / weights, most) : taken / weights;
     usualAt = now;
-    strained = 3 * bound > open || fleet.badShare() > kStrainedBadShare;
+    strained = 3 * bound > open || warm.badShare() > kStrainedBadShare;
     for (auto& [id, s] : servers) {
       const double density = (s.heat + s.hidden) / (listedWeight(s) * ramp(s));
       const double haste = std::clamp(1 - kHaste * (s.pressure - kOverloaded), kHasteLeast, 1.0);
@@ -518,8 +521,8 @@
   // Departure: a level for each slice costs a line each. Where more are needed than a message holds, one
   // level for all slices is their mean, and slices keep a level of their own where it is lower.
   void setLevels() {
-    std::vector<double> mean(demand.size(), 0);
     double exceptions = 0;
+    std::vector<double> mean(demand.size(), 0);
     for (auto& [id, s] : servers) s.levels = levelsFor(s.admitted);
     for (const auto& [t, s] : slices) {
       for (std::size_t c = 0; c < demand.size(); ++c) {
@@ -597,8 +600,8 @@
       const bool due = !s.ready() && now + way + kGraceMargin > s.leftAt + cfg.drainGrace;
       const bool stay = cfg.slices > 0 ? uses.stale.count(id) > 0 : startedWithin(s, kSettledStart);
       const bool wanted = s.withdrawn ? leave || stay : leave && (due || uses.needed.count(id) == 0);
-      const bool again = wanted && !rulesSent;  // for a proxy that joined since
-      if (wanted != s.withdrawn || again) orders.push_back(Withdraw{id, wanted});
+      if (wanted != s.withdrawn || (wanted && !rulesSent))
+        orders.push_back(Withdraw{id, wanted});  // or joined since
     }
     return orders;
   }
