Levels no longer starve moves; under strain a first slice counts with its double

The starving has no module test yet: the scene does not reproduce it; the doubled first slice has one.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -12,31 +12,29 @@
 constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
 
 // Estimates. Reports are about kReportsLag late; no setting tells.
-constexpr Micros kSweepEvery = 250 * kMs, kReportsLag = 1 * kSecond;
+constexpr Micros kSweepEvery = 250 * kMs, kReportsLag = 1 * kSecond, kProbeFirst = 500 * kMs;
 constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond, kLowestSpan = 30 * kSecond;
 constexpr double kWayMargin = 2, kWayLoss = 0.05, kFewAnswers = 4;
 // Health: failing from this share of tries, if that is so many times what the others show.
 constexpr double kFewTries = 6, kBadShare = 0.4, kWorseThanFleet = 3, kStillAnswers = 0.2;
-constexpr Micros kFailingHold = 8 * kSecond, kProbeFirst = 500 * kMs;
 // Placement. A cold server has cold keys too; among the nearly coolest the seed picks.
 constexpr double kColdDiscount = 0.85, kColdStrained = 0.7, kNearlyCoolest = 1.1, kNextToGo = 1.3;
 constexpr double kStandbyShare = 0.001, kTrialShare = 0.1, kRefillBelow = 0.8;
 constexpr Micros kRollingSpan = 10 * kSecond, kLeftSpan = 30 * kSecond, kTargetAge = 2 * kSecond,
                  kRefillEvery = 1 * kSecond, kRefillAge = 5 * kSecond;
 // The hot rule of the design.
-constexpr int kHotReports = 3;
-constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond;
-constexpr double kHotLatency = 2, kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01, kFairLoad = 0.7;
+constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond, kFailingHold = 8 * kSecond;
+constexpr double kHotLatency = 2, kHotReports = 3, kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01,
+                 kFairLoad = 0.7;
 // Admission: pressure is heard latency as a share of the aim.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.3, kRefusing = 0.2, kStep = 0.1, kSlowStep = 0.03;
 constexpr double kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4, kHaste = 0.7, kHasteLeast = 0.5;
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
 constexpr double kUsualRise = 0.1, kStrainedBadShare = 0.15;  // a second; of all tries
-// Pacing. By urgency: the share of the message limit and of the lines that may wait; the rest is kept for
-// what is more urgent. The channel may be kSlowChannel times slower than it says; what must go waits for
-// kGatherShare of a message's room.
+// Pacing. By urgency: the share of the message limit and of the lines that may wait. The channel may be
+// kSlowChannel times slower than it says; what must go waits for kGatherShare of a message's room.
 constexpr double kMessageShare[] = {0.9, 0.8, 0.6, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
-constexpr double kSlowChannel = 4, kGatherShare = 0.25;
+constexpr double kSlowChannel = 4, kGatherShare = 0.25, kLevelShare = 0.5;
 constexpr Micros kGraceMargin = 300 * kMs, kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
 }  // namespace
@@ -54,6 +52,7 @@
   bool listFresh = false, subscribed = false;
   Micros rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
+  double mean = 0;                              // load, of usable servers
   double allHeat = 0, allWeight = 0;            // weight of usable servers, as if all were warm
   double onTrial = 0, newcomers = 0, left = 0;  // slices on unproved servers; those; servers that left
   double peers = 1;                             // the whole fleet's heat against that of own slices
@@ -113,18 +112,13 @@
   }
 
   // Projected heat per unit of usable weight. Peers are taken to send a changed server as much as this one
-  // does, but the first slice there counts alone: in a grown fleet a slice and its double would fit nowhere.
+  // does, but while work is not short the first slice counts alone: with its double it would often fit
+  // nowhere.
   double load(const Server& s, double more = 0) const {
-    const double doubled = s.changedAt > 0 && s.heat > 0 ? peers : 1;
+    const double doubled = s.changedAt > 0 && (s.heat > 0 || strained) ? peers : 1;
     return (s.heat + s.hidden + more * doubled) / std::max(1e-9, weight(s) * ramp(s));
   }
 
-  double meanLoad() const {
-    double weights = 0;
-    for (const auto& [id, s] : servers) weights += s.usable() ? weight(s) * ramp(s) : 0;
-    return weights > 0 ? allHeat / weights : 0;
-  }
-
   // Time until the reports show what was ordered.
   Micros settle() const { return cfg.orderDelay + cfg.reportEvery + kReportsLag; }
 
@@ -156,7 +150,7 @@
   void reckon() {
     reckonHeat();
     reckonWays();
-    double weights = 0;
+    double weights = 0, ramped = 0;
     std::map<ServerId, double> first, requests, aims;
     allHeat = allWeight = onTrial = newcomers = left = 0;
     fleet = {};
@@ -175,6 +169,7 @@
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
       allWeight += s.usable() ? weight(s) : 0;
+      ramped += s.usable() ? weight(s) * ramp(s) : 0;
       newcomers += s.ready() && !s.proved;
       left += s.leftAt > 0 && now - s.leftAt < kLeftSpan;
       const double answers = s.sum(now, kHealthMemory, ways);
@@ -191,6 +186,7 @@
       s.hidden = s.changedAt > 0 ? s.heat * (peers - 1) : std::max(0.0, fair - first[id]);
       allHeat += s.hidden;
     }
+    mean = ramped > 0 ? allHeat / ramped : 0;
   }
 
   // Guards against whatever makes a listed server useless: quick errors, refused or silent connections, where
@@ -297,7 +293,6 @@
   // Departure: the design leaves a returned server idle until another is hot. One that changed and stands
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
   void refill() {
-    const double mean = meanLoad();
     if (heardFrom == 0 || now - heardFrom < kSettledStart) return;  // started itself: knows no loads yet
     for (auto& [id, r] : servers) {
       if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery || startedWithin(r, kRefillAge))
@@ -366,7 +361,6 @@
     for (const auto& [id, s] : servers)
       if (s.usable()) all.push_back(s.pressure);
     if (strained || median(all) > kRelaxed) return;
-    const double mean = meanLoad();
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s) || now < std::max(s.strengthAt, s.movedAt) + settle()) continue;
       const double before = s.strength;
@@ -431,7 +425,6 @@
       hot += s.usable() && isHot(s);
     }
     if (hot == open || strained) return;
-    const double mean = meanLoad();
     for (auto& [id, s] : servers) {
       if (!s.usable() || !isHot(s) || now < s.nextMoveAt) continue;
       const bool left = shed(id, "hot", [&](const Slice& t) {
@@ -533,13 +526,14 @@
     }
     const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max(1.0, channel.proxies()) - head();
     const bool oneForAll = exceptions > held && cfg.levelUnit == LevelUnit::Share;
+    const double step = (oneForAll ? 2 : 1) * kLevelStep;
     for (std::size_t c = 0; c < demand.size(); ++c) {
       const double level = oneForAll ? std::round(mean[c] / kLevelGrain) * kLevelGrain : 1;
       if (level >= 1 || std::abs(level - fleetLevels[c]) >= kLevelStep) fleetLevels[c] = level;
       for (auto& [t, s] : slices) {
         const double now = std::min(s.sentLevels[c], fleetLevels[c]);
         const double level = std::min(servers[s.home].levels[c], fleetLevels[c]);
-        const bool same = std::abs(level - now) < kLevelStep && (level < 1 || now == 1);
+        const bool same = std::abs(level - now) < step && (level < fleetLevels[c] || now == level);
         s.levels[c] = same ? s.sentLevels[c] : level < fleetLevels[c] ? level : 1;
       }
     }
@@ -609,9 +603,12 @@
   // A slice's changed lines: to its home and off servers that are still open, where a proxy has nowhere to go
   // first of all; standbys, and lines to what is withdrawn, come later.
   void addLines(TableId t, const Slice& s, std::vector<Piece>& pieces) const {
-    Piece home{s.leftHome ? kEvacuation : kMove, -s.heat, t, {}}, rest{kStandby, -s.heat, t, {}};
-    bool bare = true;
-    for (const auto& [id, w] : s.sent) bare = bare && !open(id) && !servers.at(id).ready();
+    Piece home{kMove, -s.heat, t, {}}, rest{kStandby, -s.heat, t, {}};
+    bool bare = true, left = s.leftHome;
+    for (const auto& [id, w] : s.sent) {
+      bare = bare && (servers.at(id).withdrawn || !servers.at(id).ready());
+      left = left || (s.want.count(id) == 0 && leaving(servers.at(id)));
+    }
     for (const Action& a : s.changedLines(t)) {
       const auto& line = std::get<SetLine>(a);
       const Server& v = servers.at(line.server);
@@ -620,7 +617,7 @@
       (first ? home : rest).orders.push_back(a);
       if (line.weight == 0 && !first) rest.urgency = kMove;
     }
-    if (bare) home.urgency = kMust;
+    if (bare || left) home.urgency = bare ? kMust : kEvacuation;
     if (!home.orders.empty()) pieces.push_back(std::move(home));
     if (!rest.orders.empty()) pieces.push_back(std::move(rest));
   }
@@ -661,7 +658,10 @@
       orders.insert(orders.end(), more.begin(), more.end());
       return true;
     };
+    double levels = 0;  // that change all the time: they may not starve what is less urgent
     for (const Piece& p : pieces) {
+      levels += p.urgency == kLevel ? static_cast<double>(p.orders.size()) : 0;
+      if (p.urgency == kLevel && levels > kLevelShare * room(kLevel) && levels > demand.size()) continue;
       if (!put(p.urgency, p.orders)) break;
     }
     for (const Action& order : withdrawals()) put(kMust, {order});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -383,6 +383,22 @@
   EXPECT_LT((s.levels[{kAllTables, 0}]), 0.9) << "one level for all slices";
 }
 
+// Three supervisors each gave a server back cold its first slice while work was short: it fell over.
+TEST(Placement, UnderStrainAColdServersFirstSliceCountsWithItsDouble) {
+  Settings settings = plainSettings();
+  settings.slices = 72;  // two peers hold as many
+  settings.probesAllowed = true;
+  Scene s(settings, 6);
+  s.start(24);
+  s.run(8 * kSecond);
+  for (int i = 0; i < 6; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+  s.run(10 * kSecond);
+  s.tell("s_z", ServerState::Ready, s.now - 2 * kSecond);
+  s.run(250 * kMs);
+  s.tell("s_a", ServerState::Gone);
+  EXPECT_EQ(s.homesAt("s_z"), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Paces, FullSize, testing::Values(1.0, 2.0, 4.0));
 
 // ---- Health ----
