Lower levels on cold servers go at once; coarser exceptions where one level serves all

Levels of slices on cold servers waited behind others; now lowering ones go with evacuations, others stand apart from the common level only from 0.3. More of the message limit is kept for drains.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,11 +29,12 @@
 // Admission: pressure is heard latency as a share of the aim.
 constexpr double kOverloaded = 0.55, kRelaxed = 0.3, kRefusing = 0.2, kStep = 0.1, kSlowStep = 0.03;
 constexpr double kNearPressed = 0.85, kDeepest = 0.8, kAnsweredLeast = 0.4, kHaste = 0.7, kHasteLeast = 0.5;
-constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kLevelGrain = 0.05;
+constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kCoarseStep = 0.3,
+                 kLevelGrain = 0.05;
 constexpr double kUsualRise = 0.1, kStrainedBadShare = 0.15;  // a second; of all tries
 // Pacing. By urgency: the share of the message limit and of the lines that may wait. The channel may be
 // kSlowChannel times slower than it says; what must go waits for kGatherShare of a message's room.
-constexpr double kMessageShare[] = {0.9, 0.8, 0.6, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
+constexpr double kMessageShare[] = {0.95, 0.7, 0.55, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
 constexpr double kSlowChannel = 4, kGatherShare = 0.25, kLevelShare = 0.5;
 constexpr Micros kGraceMargin = 300 * kMs, kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
 
@@ -221,8 +222,7 @@
 
   // ---- Placement and evacuation ----
 
-  // The coolest by projected heat per unit of usable weight. Near ties are broken by the seed, so that two
-  // supervisors that see the same do not both choose the same.
+  // The coolest by projected heat; near ties are broken by the seed, so that supervisors choose differently.
   template <class Allowed>
   ServerId coolest(const Slice& slice, Allowed allowed) {
     std::vector<std::pair<double, ServerId>> loads;
@@ -385,8 +385,7 @@
 
   bool isHot(const Server& s) const { return s.hotRuns >= kHotReports; }
 
-  // Design items 5 and 6: at half the heat of the hottest or nearest above it, then nearest below, then the
-  // hottest, then cold ones.
+  // Design items 5 and 6: from half the heat of the hottest up, then down, then the hottest, then cold ones.
   std::vector<TableId> byHalfOfHottest(const ServerId& id) const {
     std::vector<std::tuple<int, double, TableId>> order;
     double hottest = 0;
@@ -526,13 +525,13 @@
     }
     const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max(1.0, channel.proxies()) - head();
     const bool oneForAll = exceptions > held && cfg.levelUnit == LevelUnit::Share;
-    const double step = (oneForAll ? 2 : 1) * kLevelStep;
     for (std::size_t c = 0; c < demand.size(); ++c) {
       const double level = oneForAll ? std::round(mean[c] / kLevelGrain) * kLevelGrain : 1;
       if (level >= 1 || std::abs(level - fleetLevels[c]) >= kLevelStep) fleetLevels[c] = level;
       for (auto& [t, s] : slices) {
         const double now = std::min(s.sentLevels[c], fleetLevels[c]);
         const double level = std::min(servers[s.home].levels[c], fleetLevels[c]);
+        const double step = oneForAll && !isCold(servers[s.home]) ? kCoarseStep : kLevelStep;
         const bool same = std::abs(level - now) < step && (level < fleetLevels[c] || now == level);
         s.levels[c] = same ? s.sentLevels[c] : level < fleetLevels[c] ? level : 1;
       }
@@ -550,11 +549,10 @@
 
   void log(const std::string& line) { out.push_back(Log{line}); }
 
-  // Guards against a channel slower than stated: what proxies have not confirmed counts as waiting, down to a
-  // pace at which it would have gone even so (proxies that stand still confirm late).
+  // Guards against a channel slower than stated: what proxies have not confirmed counts as waiting.
   double linesQueued() const { return channel.waiting(now, cfg.linesPerSecond / kSlowChannel); }
 
-  // Lines that a message to each proxy may hold now; levels for all and the mark ride along.
+  // What a message to each proxy may hold now; levels for all and the mark ride along.
   double head() const { return cfg.linesPerMessage + static_cast<double>(cfg.classes.size()) + 1; }
   double room(Urgency urgency) const {
     const double lines = cfg.linesWaitingMax * kQueueShare[urgency] - linesQueued();
@@ -632,11 +630,14 @@
       if (std::vector<Action> lines = handOver(t, s); !lines.empty())
         pieces.push_back({kMust, -s.heat, t, std::move(lines)});
       std::vector<Action> levels;
+      bool lower = false;
       for (std::size_t c = 0; c < s.levels.size() && cfg.levelUnit == LevelUnit::Share; ++c) {
-        if (s.levels[c] != s.sentLevels[c])
-          levels.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
+        if (s.levels[c] == s.sentLevels[c]) continue;
+        levels.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
+        lower = lower || s.levels[c] < s.sentLevels[c];
       }
-      if (!levels.empty()) pieces.push_back({kLevel, -s.heat, t, std::move(levels)});
+      const Urgency urgency = lower && isCold(servers[s.home]) ? kEvacuation : kLevel;
+      if (!levels.empty()) pieces.push_back({urgency, -s.heat, t, std::move(levels)});
     }
     if (!rulesSent || strained != strainedSent || fleetLevels != fleetSent) {
       pieces.push_back({kLevel, -allHeat, kAllTables, {}});
