--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -12,7 +12,8 @@
 constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
 
 // Estimates. Reports are about kReportsLag late; no setting tells.
-constexpr Micros kSweepEvery = 250 * kMs, kReportsLag = 1 * kSecond, kProbeFirst = 500 * kMs;
+constexpr Micros kSweepEvery = 250 * kMs, kReportsLag = 1 * kSecond, kProbeFirst = 500 * kMs,
+                 kOldListHolds = 500 * kMs;
 constexpr Micros kDemandMemory = 5 * kSecond, kHealthMemory = 2 * kSecond, kLowestSpan = 30 * kSecond;
 constexpr double kWayMargin = 2, kWayLoss = 0.05, kFewAnswers = 4;
 // Health: failing from this share of tries, if that is so many times what the others show.
@@ -41,8 +42,6 @@
 }  // namespace
 
 struct Director::State {
-  using ServerRef = std::pair<const ServerId, Server>;
-
   Settings cfg;
   Rng rng;
   Micros now = 0;
@@ -51,7 +50,7 @@
   std::map<TableId, Slice> slices;
   Channel channel;
   bool listFresh = false, subscribed = false;
-  Micros rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
+  Micros bornAt = 0, rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
   double mean = 0;                              // load, of usable servers
   double allHeat = 0, allWeight = 0;            // weight of usable servers, as if all were warm
@@ -78,7 +77,7 @@
     });
   }
 
-  // ---- Estimates: heat, latency, health ----
+  // ---- Estimates ----
 
   // Rates are counted over the time that reports cover: a supervisor just started would else take the first
   // of them for all. A slice just given counts as a mean one for a while: else a batch of them lands on one
@@ -261,7 +260,7 @@
     if (s.home.empty()) return "unhomed";
     if (it != servers.end() && it->second.entry.state == ServerState::Draining) return "draining";
     if (it == servers.end() || !it->second.ready()) return listFresh ? "gone" : nullptr;
-    if (it->second.failing) return "failing";
+    if (it->second.failing || it->second.withdrawn) return it->second.failing ? "failing" : "withdrawn";
     return isCold(it->second) && s.movedAt < it->second.entry.startedAt ? "restarted" : nullptr;
   }
 
@@ -284,8 +283,8 @@
     }
   }
 
-  // Guards against listed servers that are none: until one has answered it counts for nothing. It is probed
-  // (above); where that is not allowed and more are new than have left, few slices are on trial.
+  // Guards against listed servers that are none: one that has not answered counts for nothing. It is probed,
+  // or tried: with few slices where more are new than have left.
   bool mayTry(const Server& s) const {
     const double most = newcomers > left ? kTrialShare * static_cast<double>(slices.size()) : 1e9;
     return !cfg.probesAllowed && !s.proved && s.ready() && !s.failing && onTrial < most;
@@ -298,8 +297,8 @@
       if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery || startedWithin(r, kRefillAge))
         continue;
       if (load(r) >= kRefillBelow * mean) continue;
-      ServerRef* donor = nullptr;
-      for (ServerRef& d : servers) {
+      std::pair<const ServerId, Server>* donor = nullptr;
+      for (auto& d : servers) {
         if (!d.second.usable() || now < d.second.nextMoveAt || load(d.second) <= mean) continue;
         if (donor == nullptr || load(d.second) > load(donor->second)) donor = &d;
       }
@@ -358,8 +357,7 @@
   // where a short trouble makes many look weak in turn.
   void judgeStrength() {
     std::vector<double> all;
-    for (const auto& [id, s] : servers)
-      if (s.usable()) all.push_back(s.pressure);
+    for (const auto& [id, s] : servers) all.push_back(s.usable() ? s.pressure : 0);
     if (strained || median(all) > kRelaxed) return;
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s) || now < std::max(s.strengthAt, s.movedAt) + settle()) continue;
@@ -383,8 +381,6 @@
     }
   }
 
-  bool isHot(const Server& s) const { return s.hotRuns >= kHotReports; }
-
   // Design items 5 and 6: from half the heat of the hottest up, then down, then the hottest, then cold ones.
   std::vector<TableId> byHalfOfHottest(const ServerId& id) const {
     std::vector<std::tuple<int, double, TableId>> order;
@@ -421,15 +417,15 @@
     std::size_t open = 0, hot = 0;
     for (const auto& [id, s] : servers) {
       open += s.usable();
-      hot += s.usable() && isHot(s);
+      hot += s.usable() && s.hotRuns >= kHotReports;
     }
     if (hot == open || strained) return;
     for (auto& [id, s] : servers) {
-      if (!s.usable() || !isHot(s) || now < s.nextMoveAt) continue;
+      if (!s.usable() || s.hotRuns < kHotReports || now < s.nextMoveAt) continue;
       const bool left = shed(id, "hot", [&](const Slice& t) {
         return coolest(t, [&](const Server& c) {
-          return c.usable() && !isHot(c) && load(c) < mean && !startedWithin(c, kSettledStart) &&
-                 t.heat <= allHeat * weight(c) / allWeight;
+          return c.usable() && c.hotRuns < kHotReports && load(c) < mean &&
+                 !startedWithin(c, kSettledStart) && t.heat <= allHeat * weight(c) / allWeight;
         });
       });
       if (!left) continue;
@@ -488,8 +484,7 @@
       const double density = (s.heat + s.hidden) / (listedWeight(s) * ramp(s));
       const double haste = std::clamp(1 - kHaste * (s.pressure - kOverloaded), kHasteLeast, 1.0);
       const double allowed = isCold(s) ? usual : haste * s.allowance;
-      if (strained && isCold(s) && density > allowed)
-        s.allowance = s.pressedAt = usual;  // from where it goes on when warm
+      if (strained && isCold(s) && density > allowed) s.allowance = s.pressedAt = usual;  // for when warm
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
       // Nor does a cold server let in a larger share than the warm ones then do.
       if (strained && isCold(s) && offered > 0) s.admitted = std::min(s.admitted, taken / offered);
@@ -497,7 +492,7 @@
     setLevels();
   }
 
-  // What is not let in is taken from the classes of least worth per work first, in few steps.
+  // What is not let in is taken from the classes of least worth per work first, in steps.
   std::vector<double> levelsFor(double admitted) const {
     double cut = 0;
     for (const double d : demand) cut += (1 - admitted) * d;
@@ -510,8 +505,8 @@
     return levels;
   }
 
-  // Departure: a level for each slice costs a line each. Where more are needed than a message holds, one
-  // level for all slices is their mean, and slices keep a level of their own where it is lower.
+  // Departure: a level for each slice costs a line. Where more are needed than a message holds, one for all
+  // is their mean, and slices have one of their own where it is far lower.
   void setLevels() {
     double exceptions = 0;
     std::vector<double> mean(demand.size(), 0);
@@ -598,8 +593,8 @@
     return orders;
   }
 
-  // A slice's changed lines: to its home and off servers that are still open, where a proxy has nowhere to go
-  // first of all; standbys, and lines to what is withdrawn, come later.
+  // A slice's changed lines: to its home and off open servers, first of all where a proxy has nowhere to go;
+  // standbys, and lines to what is withdrawn, come later.
   void addLines(TableId t, const Slice& s, std::vector<Piece>& pieces) const {
     Piece home{kMove, -s.heat, t, {}}, rest{kStandby, -s.heat, t, {}};
     bool bare = true, left = s.leftHome;
@@ -674,7 +669,6 @@
     out.insert(out.end(), orders.begin(), orders.end());
   }
 
-  // What was ordered is taken as done.
   void note(const Action& order) {
     if (const auto* pull = std::get_if<Withdraw>(&order)) servers[pull->server].withdrawn = pull->out;
     if (const auto* line = std::get_if<SetLine>(&order)) {
@@ -761,7 +755,6 @@
     if (e.given) slices.emplace(e.slice, Slice(now, cfg.classes.size()));
   }
 
-  // The store's tables are taken as they are.
   void on(const StoredLine& e) {
     const auto it = slices.find(e.slice);
     if (it == slices.end() || e.weight <= 0) return;
@@ -787,6 +780,8 @@
       out.push_back(WatchList{true});
       subscribed = true;
     }
+    // Where changes are pushed an old list that nothing changed by now holds; else it is asked for anew.
+    listFresh = listFresh || (!cfg.listOnRequest && now - bornAt > kOldListHolds);
     reckon();
     judgeHealth();
     evacuate();
@@ -808,7 +803,8 @@
 
 std::vector<Action> Director::handle(Micros now, const std::vector<Event>& events) {
   State& st = *state_;
-  bool due = false, sweep = st.now == 0;
+  bool due = false, sweep = st.bornAt == 0;
+  if (sweep) st.bornAt = now;
   st.now = now;
   st.out.clear();
   for (const Event& event : events) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -46,7 +46,9 @@
 }
 
 TEST(Start, AnOldListDoesNotEmptyServersItDoesNotKnow) {
-  Scene s;
+  Settings settings = plainSettings();
+  settings.listOnRequest = true;
+  Scene s(settings);
   std::vector<Event> ev;
   ListNews old;
   old.mode = ListMode::Cached;
@@ -194,6 +196,27 @@
   for (int t = 0; t < 4; ++t) EXPECT_EQ(s.home(t), "s_a");
 }
 
+// A supervisor that came back knew a server as gone from its old list alone; no change followed, and it left
+// lines to that server in the tables past the grace.
+TEST(Start, WhereChangesArePushedAnOldListThatNothingChangesHolds) {
+  Scene s;
+  std::vector<Event> ev;
+  ListNews old;
+  old.mode = ListMode::Cached;
+  old.entries = {s.list["s_a"], s.list["s_b"]};
+  ev.push_back(old);
+  ev.push_back(ProxyJoined{0, 0, 5, false});
+  for (int t = 0; t < 4; ++t) {
+    ev.push_back(SliceCharge{t, true});
+    ev.push_back(StoredLine{t, "s_a", 1});
+    ev.push_back(StoredLine{t, "s_d", 0.001});
+    s.tables[t] = {{"s_a", 1}, {"s_d", 0.001}};
+  }
+  s.feed(ev);
+  s.run(1250 * kMs);
+  for (int t = 0; t < 4; ++t) EXPECT_EQ(s.tables[t].count("s_d"), 0u) << t;
+}
+
 // ---- Wrong lists ----
 
 Settings adviceSettings() {
