Serve on real sockets: clients, discovery and relay around the module

What a real supervisor needs is built round the unchanged module: the listener for heartbeats and collectors, discovery over evhttp (GET and chunked watch), the relay's calls and news on libevent streams, an exchange as the only meeting point, and one loop that gives the module what came in a turn as one batch. The JSON field reader of the simulator's codec is shared (src/wire/fields.h), so settings are read by one parser.

Known hazard met by design: a slice and its lines come as separate lines of news (they were one batch on the simulator); they are handed on together, else the module would decide on a bare slice.

--- /dev/null
+++ b/src/clients/messages.h
@@ -0,0 +1,21 @@
+// The messages that come to the supervisor's address.
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "discovery/catalog.h"
+#include "peargrade/director.h"
+
+namespace peargrade::clients {
+
+struct Heartbeat {};
+struct Telemetry {  // a collector states its zone
+  int zone = 0;
+};
+using Message = std::variant<Heartbeat, Telemetry, ServerReport, SliceDemand>;
+
+// One JSON object. Throws wire::Malformed.
+Message parseMessage(const std::string& bytes, const discovery::Names& names, int slices);
+
+}  // namespace peargrade::clients
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,121 @@
+#include "config/config.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "wire/fields.h"
+
+namespace peargrade::config {
+namespace {
+
+using wire::Fields;
+
+[[noreturn]] void wrong(const std::string& field, const std::string& what) {
+  throw Wrong(field + ": " + what);
+}
+
+net::Address addressOf(const std::string& text, const std::string& field) {
+  const auto address = net::Address::parse(text);
+  if (!address) wrong(field, "'" + text + "' is no address of the form 127.0.0.1:3000");
+  return *address;
+}
+
+// The variable if it is set, else the field.
+std::string told(const Fields& f, const char* field, const char* variable, const Environment& environment) {
+  if (const auto value = environment(variable); value && !value->empty()) return *value;
+  if (f.find(field) == nullptr) wrong(field, std::string("is missing, and ") + variable + " is not set");
+  return f.text(field);
+}
+
+std::uint64_t seedOf(const std::string& hex) {
+  std::uint64_t seed = 0;
+  const auto end = std::from_chars(hex.data(), hex.data() + hex.size(), seed, 16);
+  if (end.ec != std::errc() || end.ptr != hex.data() + hex.size())
+    wrong("seed", "is no number of up to 16 hex digits");
+  return seed;
+}
+
+std::vector<std::string> namesOf(const wire::Value& list, const std::string& field) {
+  if (!list.IsArray()) wrong(field, "is not an array");
+  std::vector<std::string> names;
+  std::set<std::string> seen;
+  for (const wire::Value& item : list.GetArray()) {
+    if (!item.IsString()) wrong(field, "holds something other than names");
+    names.emplace_back(item.GetString(), item.GetStringLength());
+    // They stand in lines of the relay, where these characters part the words.
+    if (names.back().empty() || names.back().find_first_of(" ,;+*\r\n") != std::string::npos)
+      wrong(field, "'" + names.back() + "' cannot stand in a line of the relay");
+    if (!seen.insert(names.back()).second) wrong(field, "'" + names.back() + "' is there twice");
+  }
+  return names;
+}
+
+discovery::Names parseNames(const Fields& settings) {
+  discovery::Names names;
+  names.zones = namesOf(settings.array("zones"), "settings.zones");
+  if (names.zones.empty()) wrong("settings.zones", "is empty");
+  if (const wire::Value* kinds = settings.find("kinds")) names.kinds = namesOf(*kinds, "settings.kinds");
+  rapidjson::Document classes(rapidjson::kArrayType);
+  for (const wire::Value& c : settings.array("classes").GetArray()) {
+    const std::string name = Fields(c, "settings.classes").text("name");
+    classes.PushBack(wire::Value(name.c_str(), classes.GetAllocator()).Move(), classes.GetAllocator());
+  }
+  names.classes = namesOf(classes, "settings.classes");
+  if (names.classes.size() > 32) wrong("settings.classes", "holds more than 32 classes");
+  return names;
+}
+
+Limits parseLimits(const Fields& f) {
+  Limits limits;
+  limits.cores = f.numberOr("cores", limits.cores);
+  limits.memoryMb = f.integerOr("memory_mb", 16, 1 << 24, limits.memoryMb);
+  limits.sockets = static_cast<int>(f.integerOr("sockets", 64, 1 << 20, limits.sockets));
+  return limits;
+}
+
+}  // namespace
+
+std::optional<std::string> processEnvironment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+Config parse(const std::string& text, const Environment& environment) {
+  try {
+    rapidjson::Document doc;
+    wire::parseJson(doc, text, "configuration");
+    const Fields f(doc, "configuration");
+    Config c;
+    c.name = told(f, "name", "NODE_NAME", environment);
+    c.listen = addressOf(told(f, "listen", "NODE_LISTEN", environment), "listen");
+    c.discovery = addressOf(told(f, "discovery", "NODE_DISCOVERY", environment), "discovery");
+    c.relay = addressOf(Fields(f.need("relay"), "relay").text("address"), "relay.address");
+    if (c.relay.text() == c.listen.text()) wrong("relay.address", "is the supervisor's own address");
+    if (c.discovery.text() == c.listen.text()) wrong("discovery", "is the supervisor's own address");
+    c.seed = f.find("seed") == nullptr ? 0 : seedOf(f.text("seed"));
+    if (const wire::Value* limits = f.find("limits")) c.limits = parseLimits(Fields(*limits, "limits"));
+    c.settings = wire::parseSettings(f.need("settings"), "settings");
+    if (c.settings.slices == 0) wrong("settings.extra.shards", "is 0: this protocol needs slices");
+    c.names = parseNames(Fields(f.need("settings"), "settings"));
+    if (const wire::Value* known = f.find("known"))
+      c.known = discovery::parseCatalog(*known, c.names, "known");
+    c.known.mode = ListMode::Cached;
+    return c;
+  } catch (const wire::Malformed& e) {
+    throw Wrong(e.what());
+  }
+}
+
+Config load(const std::string& path, const Environment& environment) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw Wrong("NODE_CONFIG: cannot read '" + path + "'");
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (file.bad() || text.str().empty()) throw Wrong("NODE_CONFIG: '" + path + "' cannot be read or is empty");
+  return parse(text.str(), environment);
+}
+
+}  // namespace peargrade::config
--- /dev/null
+++ b/src/discovery/catalog.cpp
@@ -0,0 +1,51 @@
+#include "discovery/catalog.h"
+
+#include <algorithm>
+
+namespace peargrade::discovery {
+namespace {
+
+constexpr std::int64_t kMillisMax = INT64_MAX / 1000;
+
+ServerEntry parseTarget(const wire::Fields& f, const Names& names) {
+  ServerEntry e;
+  e.server = wire::serverId(f, "uid");
+  e.weight = f.numberOr("capacity_hint", 1);
+  e.startedAt = f.integerOr("boot_ms", 0, kMillisMax, 0) * 1000;
+  e.cell = static_cast<int>(f.integerOr("pod_group", 0, wire::kIntMax, 0));
+  e.state = wire::oneOf<ServerState>(
+      f, "state",
+      {{"SERVING", ServerState::Ready}, {"DRAINING", ServerState::Draining}, {"DELETED", ServerState::Gone}});
+  e.zone = placeOf(names.zones, f.text("az"));
+  if (e.zone < 0) wire::bad(f.where(), "'az' is no zone of the settings");
+  // A kind that the settings do not name is none that a decision could rest on.
+  e.kind = std::max(0, placeOf(names.kinds, f.textOr("model", "")));
+  return e;
+}
+
+}  // namespace
+
+int placeOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+ListNews parseCatalog(const wire::Value& value, const Names& names, const std::string& where) {
+  const wire::Fields f(value, where);
+  ListNews news;
+  news.version = f.integer("rev", 0, wire::kMicrosMax);
+  news.mode = f.mark("all") ? ListMode::Full : ListMode::Delta;
+  const std::string place = where + ": targets";
+  for (const wire::Value& target : f.array("targets").GetArray()) {
+    news.entries.push_back(parseTarget(wire::Fields(target, place), names));
+  }
+  return news;
+}
+
+ListNews parseCatalog(const std::string& bytes, const Names& names, const std::string& where) {
+  rapidjson::Document doc;
+  wire::parseJson(doc, bytes, where);
+  return parseCatalog(doc, names, where);
+}
+
+}  // namespace peargrade::discovery
--- /dev/null
+++ b/src/discovery/catalog.h
@@ -0,0 +1,26 @@
+// Discovery's JSON: the list of servers and its changes. Only the fields that the decisions need are taken
+// out.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "peargrade/director.h"
+#include "wire/fields.h"
+
+namespace peargrade::discovery {
+
+// The names that the protocol uses where the module counts from 0, in the order of the settings.
+struct Names {
+  std::vector<std::string> zones, kinds, classes;
+};
+
+// The place of a name, or -1.
+int placeOf(const std::vector<std::string>& names, const std::string& name);
+
+// One object {"rev":..,"all":..,"targets":[..]}. Throws wire::Malformed.
+ListNews parseCatalog(const wire::Value& value, const Names& names, const std::string& where);
+// The same from bytes.
+ListNews parseCatalog(const std::string& bytes, const Names& names, const std::string& where);
+
+}  // namespace peargrade::discovery
--- /dev/null
+++ b/src/log/reason.h
@@ -0,0 +1,30 @@
+// Why a connection ended: the codes that stand in its one log line. docs/oncall.md lists them.
+#pragma once
+
+#include <string>
+
+namespace peargrade::log {
+
+enum class Reason {
+  PeerClosed,      // the peer closed it in order
+  Reset,           // the peer or the network broke it
+  Refused,         // the dial was refused
+  ConnectTimeout,  // the dial never came up
+  Silent,          // no sign of life within the peer's limit
+  IdleClosed,      // an order connection that had nothing to carry was closed by the relay
+  NoAnswer,        // a call was not answered in time
+  BadLength,       // a frame longer than allowed
+  BadMessage,      // a frame, line or object that cannot be read
+  BadAnswer,       // an answer that cannot be read, or a status other than success
+  TooLong,         // a line or body longer than allowed
+  SlowReader,      // the peer does not read what it is sent
+  Crowded,         // closed to make room for others
+  Stranger,        // said nothing of use for too long
+  RevisionBack,    // discovery went back behind what it had told
+  NotWanted,       // the supervisor ended it: no further use
+  Stopping,        // the supervisor ends
+};
+
+const char* code(Reason reason);
+
+}  // namespace peargrade::log
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,66 @@
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <string>
+
+#include "config/config.h"
+#include "log/log.h"
+#include "supervisor/serve.h"
+#include "version.h"
+
+namespace {
+
+using peargrade::config::Config;
+
+std::string tableOf(const Config& c) {
+  std::ostringstream text;
+  text << "name       " << c.name << "\nlisten     " << c.listen.text() << "\ndiscovery  "
+       << c.discovery.text() << "\nrelay      " << c.relay.text() << "\nlimits     " << c.limits.cores
+       << " cores, " << c.limits.memoryMb << " MB, " << c.limits.sockets << " descriptors\nsettings   "
+       << c.names.classes.size() << " classes, " << c.settings.slices << " slices, " << c.names.zones.size()
+       << " zones, " << c.settings.supervisors << " supervisors\nknown      revision " << c.known.version
+       << ", " << c.known.entries.size() << " servers\n";
+  return text.str();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("peargrade: a traffic director for a fleet of sidecar proxies");
+  app.require_subcommand(1);
+  app.failure_message(CLI::FailureMessage::help);
+  std::string path, level = "info";
+  const auto withConfig = [&](CLI::App* command) {
+    command->add_option("-c,--config", path, "configuration file")->envname("NODE_CONFIG")->required();
+    return command;
+  };
+  CLI::App* serve = withConfig(app.add_subcommand("serve", "run one supervisor until SIGTERM"));
+  serve->add_option("--log-level", level, "least level that is logged: debug, info, warn, error, off")
+      ->envname("NODE_LOG_LEVEL")
+      ->check(CLI::IsMember({"debug", "info", "warn", "error", "off"}))
+      ->capture_default_str();
+  CLI::App* check = withConfig(app.add_subcommand("check", "read a configuration and say what it holds"));
+  CLI::App* version = app.add_subcommand("version", "print the version");
+  CLI11_PARSE(app, argc, argv);
+
+  if (version->parsed()) {
+    std::cout << "peargrade " << peargrade::kVersion << '\n';
+    return 0;
+  }
+  try {
+    const Config config = peargrade::config::load(path, peargrade::config::processEnvironment);
+    if (check->parsed()) {
+      std::cout << tableOf(config);
+      return 0;
+    }
+    peargrade::log::Log log(STDERR_FILENO, *peargrade::log::levelNamed(level));
+    return peargrade::supervisor::serve(config, log);
+  } catch (const peargrade::config::Wrong& e) {
+    std::cerr << "peargrade: configuration: " << e.what() << '\n';
+    return 2;
+  } catch (const std::exception& e) {
+    std::cerr << "peargrade: " << e.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/relay/newsbook.cpp
@@ -0,0 +1,127 @@
+#include "relay/newsbook.h"
+
+#include <cmath>
+
+namespace peargrade::relay {
+namespace {
+
+bool equal(double a, double b) { return std::abs(a - b) <= 1e-6 * std::max(1.0, std::abs(a)); }
+
+template <class Lines>
+bool equalLines(const Lines& a, const Lines& b) {
+  if (a.size() != b.size()) return false;
+  for (auto i = a.begin(), k = b.begin(); i != a.end(); ++i, ++k) {
+    if (i->first != k->first || !equal(i->second, k->second)) return false;
+  }
+  return true;
+}
+
+template <class Slices>
+void apply(const Order& order, Slices& slices) {
+  if (order.cleared) {
+    if (const auto it = slices.find(*order.cleared); it != slices.end()) it->second.clear();
+  }
+  if (!order.line) return;
+  const auto it = slices.find(order.line->table);
+  if (it == slices.end()) return;
+  if (order.line->weight > 0)
+    it->second[order.line->server] = order.line->weight;
+  else
+    it->second.erase(order.line->server);
+}
+
+}  // namespace
+
+void NewsBook::begin(const std::vector<Order>& doubted) {
+  settling_ = true;
+  doubtCarriedOut_ = false;
+  unseenProxies_ = proxies_;
+  unseenSlices_.clear();
+  for (const auto& [slice, lines] : slices_) unseenSlices_.insert(slice);
+  repeated_ = -1;
+  told_.clear();
+  doubted_ = doubted;
+}
+
+void NewsBook::taken(const Order& order) { apply(order, slices_); }
+
+// Whether the lines told for a slice are those that the store should hold, with the call in doubt or without
+// it.
+bool NewsBook::same(TableId slice, const Lines& told) {
+  if (equalLines(slices_[slice], told)) return true;
+  std::map<TableId, Lines> after{{slice, slices_[slice]}};
+  for (const Order& order : doubted_) apply(order, after);
+  if (!equalLines(after[slice], told)) return false;
+  doubtCarriedOut_ = true;
+  return true;
+}
+
+// A slice of ours has been repeated in full. Where another supervisor wrote it meanwhile, it counts as given
+// anew.
+void NewsBook::closeRepeat(std::vector<Event>& events) {
+  if (repeated_ < 0) return;
+  const TableId slice = std::exchange(repeated_, -1);
+  if (same(slice, told_)) return;
+  slices_[slice] = told_;
+  events.push_back(SliceCharge{slice, false});
+  events.push_back(SliceCharge{slice, true});
+  for (const auto& [server, weight] : told_) events.push_back(StoredLine{slice, server, weight});
+}
+
+void NewsBook::take(const News& news, std::vector<Event>& events) {
+  if (const auto* line = std::get_if<StoredLine>(&news); line != nullptr && line->slice == repeated_) {
+    told_[line->server] = line->weight;
+    return;
+  }
+  closeRepeat(events);
+  if (const auto* joined = std::get_if<ProxyJoined>(&news)) {
+    unseenProxies_.erase(joined->proxy);
+    const bool known = !proxies_.insert(joined->proxy).second;
+    // One that holds nothing that was ordered has started anew, and one that joins twice has left between.
+    if (known && settling_ && !joined->fresh) return;
+    if (known) events.push_back(ProxyLeft{joined->proxy});
+    events.push_back(*joined);
+  } else if (const auto* left = std::get_if<ProxyLeft>(&news)) {
+    unseenProxies_.erase(left->proxy);
+    if (proxies_.erase(left->proxy) > 0) events.push_back(*left);
+  } else if (const auto* charge = std::get_if<SliceCharge>(&news)) {
+    const bool known = slices_.count(charge->slice) > 0;
+    if (charge->given && known && unseenSlices_.erase(charge->slice) > 0) {
+      repeated_ = charge->slice;
+      told_.clear();
+      return;
+    }
+    unseenSlices_.erase(charge->slice);
+    if (charge->given)
+      slices_[charge->slice].clear();
+    else if (slices_.erase(charge->slice) == 0)
+      return;
+    events.push_back(*charge);
+  } else if (const auto* line = std::get_if<StoredLine>(&news)) {
+    const auto it = slices_.find(line->slice);
+    if (it == slices_.end()) return;
+    it->second[line->server] = line->weight;
+    events.push_back(*line);
+  } else if (const auto* applied = std::get_if<OrderApplied>(&news)) {
+    if (proxies_.count(applied->proxy) > 0) events.push_back(*applied);
+  }
+}
+
+void NewsBook::settle(std::vector<Event>& events) {
+  closeRepeat(events);
+  if (!settling_) return;
+  settling_ = false;
+  for (ProxyId proxy : unseenProxies_) {
+    proxies_.erase(proxy);
+    events.push_back(ProxyLeft{proxy});
+  }
+  for (TableId slice : unseenSlices_) {
+    slices_.erase(slice);
+    events.push_back(SliceCharge{slice, false});
+  }
+  unseenProxies_.clear();
+  unseenSlices_.clear();
+  doubted_.clear();
+}
+
+}  // namespace peargrade::relay
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,72 @@
+// The server side's view of the relay: one connection for the news, one for the calls, each dialled anew when
+// it ends.
+#pragma once
+
+#include <deque>
+#include <memory>
+
+#include "exchange/exchange.h"
+#include "log/log.h"
+#include "net/lines.h"
+#include "net/net.h"
+#include "relay/calls.h"
+#include "relay/newsbook.h"
+
+namespace peargrade::relay {
+
+class Relay {
+ public:
+  struct Limits {
+    Micros connect = 500000;       // a dial
+    Micros newsSilence = 2500000;  // a sign of life comes every 1 s
+    Micros answer = 250000;        // an answer comes within 50 ms or never
+    Micros throttled = 100000;     // wait before a throttled call is tried again
+    Micros gather = 20000;         // a slice and its lines are handed on together once the news pause so long
+    Micros gatherMost = 200000;    // but not later than this
+    Micros redialLeast = 20000, redialMost = 1000000;
+    Micros settleAfter = 300000;  // what stands has been repeated at the first sign of life after this
+    std::size_t line = 4096;      // longest line of the relay
+  };
+  Relay(event_base* base, const net::Address& address, const Names& names, int slices, std::uint64_t seed,
+        exchange::Exchange& exchange, log::Log& log, Limits limits);
+  ~Relay();
+  const Calls::Counts& counts() const { return calls_.counts(); }
+
+ private:
+  void dialNews();
+  void onNews(evbuffer* input);
+  bool onNewsLine(const std::string& line);
+  void endNews(log::Reason reason, const std::string& detail);
+  void handOn();
+
+  void order(const exchange::Exchange::Orders& actions);
+  void push();
+  void onAnswer(evbuffer* input);
+  void endCalls(log::Reason reason, const std::string& detail);
+
+  event_base* base_;
+  net::Address address_;
+  const Names& names_;
+  int slices_;
+  exchange::Exchange& exchange_;
+  log::Log& log_;
+  Limits limits_;
+
+  std::unique_ptr<net::Stream> news_;
+  net::Lines newsLines_;
+  bool newsOpen_ = false;  // WATCH has been answered
+  Micros openedAt_ = 0;
+  NewsBook book_;
+  std::vector<Event> held_;  // not yet handed on
+  Micros heldSince_ = 0;
+  net::Backoff newsBackoff_;
+  net::Timer newsRedial_, newsSilence_, gather_;
+
+  std::unique_ptr<net::Stream> line_;  // for the calls
+  net::Lines answers_;
+  Calls calls_;
+  net::Backoff callBackoff_;
+  net::Timer callRedial_, answerLimit_;
+};
+
+}  // namespace peargrade::relay
--- /dev/null
+++ b/src/supervisor/serve.cpp
@@ -0,0 +1,65 @@
+#include "supervisor/serve.h"
+
+#include <csignal>
+#include <stdexcept>
+
+#include "clients/clients.h"
+#include "discovery/discovery.h"
+#include "exchange/exchange.h"
+#include "net/net.h"
+#include "relay/relay.h"
+#include "supervisor/clock.h"
+#include "supervisor/supervisor.h"
+
+namespace peargrade::supervisor {
+namespace {
+
+constexpr Micros kReadyAtLast = 1500000;  // heartbeats are answered then whatever does not answer
+constexpr int kOwnDescriptors = 48;       // relay, discovery, loop, log and room for those just ended
+
+}  // namespace
+
+int serve(const config::Config& config, log::Log& log) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const Clock clock;
+  const net::EventBase base = net::makeBase();
+  bool stopping = false;
+  const auto stop = [](evutil_socket_t, short, void* flag) { *static_cast<bool*>(flag) = true; };
+  const net::EventHandle term(evsignal_new(base.get(), SIGTERM, stop, &stopping));
+  const net::EventHandle interrupt(evsignal_new(base.get(), SIGINT, stop, &stopping));
+  event_add(term.get(), nullptr);
+  event_add(interrupt.get(), nullptr);
+
+  exchange::Exchange exchange;
+  Supervisor supervisor(config.seed, config.settings, exchange, log);
+  clients::Clients::Limits clientLimits;
+  clientLimits.connections = static_cast<std::size_t>(config.limits.sockets - kOwnDescriptors);
+  clients::Clients clients(base.get(), config.listen, config.names, config.settings.slices, exchange, log,
+                           clientLimits);
+  discovery::Discovery discovery(base.get(), config.discovery, config.names, config.known.version, exchange,
+                                 log, {});
+  relay::Relay relay(base.get(), config.relay, config.names, config.settings.slices, config.seed, exchange,
+                     log, {});
+  log.info("supervisor") << config.name << " serves at " << config.listen.text() << ", "
+                         << config.known.entries.size() << " servers known";
+
+  net::Timer readyAtLast(base.get(), [&] { exchange.waitedEnough(); });
+  readyAtLast.in(kReadyAtLast);
+  net::Timer wake(base.get(), [] {});  // ends the wait of the loop; the turn looks for what is due
+  exchange.post(config.known);
+  while (!stopping) {
+    const Micros now = clock.now();
+    supervisor.turn(now);
+    log.flush();
+    if (const auto next = supervisor.nextTimer()) wake.in(*next - clock.now());
+    event_base_loop(base.get(), EVLOOP_ONCE | (exchange.waiting() ? EVLOOP_NONBLOCK : 0));
+  }
+  const auto& counts = relay.counts();
+  log.info("supervisor") << "stopping; relay calls " << counts.calls << " for " << counts.replies
+                         << " replies, " << counts.merged << " merged, " << counts.superseded
+                         << " orders superseded, " << counts.repeated << " calls repeated, " << counts.settled
+                         << " settled by evidence, " << counts.lost << " orders lost";
+  return 0;
+}
+
+}  // namespace peargrade::supervisor
--- /dev/null
+++ b/src/supervisor/supervisor.h
@@ -0,0 +1,30 @@
+// Owns the module: gathers what came in one turn of the loop into one `handle`, keeps its timers, and gives
+// its actions to the exchange. It decides nothing.
+#pragma once
+
+#include <functional>
+
+#include "exchange/exchange.h"
+#include "log/log.h"
+#include "supervisor/timers.h"
+
+namespace peargrade::supervisor {
+
+class Supervisor {
+ public:
+  Supervisor(std::uint64_t seed, const Settings& settings, exchange::Exchange& exchange, log::Log& log)
+      : director_(seed, settings), exchange_(exchange), log_(log) {}
+
+  // One turn: due timers and the events that came, as one batch. Nothing to do, nothing done.
+  void turn(Micros now);
+  // When the next timer is due.
+  std::optional<Micros> nextTimer() const { return timers_.next(); }
+
+ private:
+  Director director_;
+  exchange::Exchange& exchange_;
+  log::Log& log_;
+  Timers timers_;
+};
+
+}  // namespace peargrade::supervisor
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,111 +1,17 @@
 #include "wire/codec.h"
 
-#include <rapidjson/document.h>
-#include <rapidjson/error/en.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <cmath>
 #include <map>
 
+#include "wire/fields.h"
+
 namespace peargrade::wire {
 namespace {
 
 using rapidjson::Value;
 
-// A place in the batch, for messages: "turn 12: supervisor 3: upstreamStats: 'total' is missing".
-[[noreturn]] void bad(const std::string& where, const std::string& what) {
-  throw Malformed(where + ": " + what);
-}
-
-// Reads the fields of one JSON object and names it in every complaint.
-class Fields {
- public:
-  Fields(const Value& value, std::string where) : value_(value), where_(std::move(where)) {
-    if (!value_.IsObject()) bad(where_, "is not an object");
-  }
-
-  const std::string& where() const { return where_; }
-
-  const Value* find(const char* name) const {
-    auto it = value_.FindMember(name);
-    return it == value_.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
-  }
-  const Value& need(const char* name) const {
-    const Value* v = find(name);
-    if (v == nullptr) bad(where_, std::string("'") + name + "' is missing");
-    return *v;
-  }
-  std::int64_t integer(const char* name, std::int64_t least, std::int64_t most) const {
-    return checkInteger(need(name), name, least, most);
-  }
-  std::int64_t integerOr(const char* name, std::int64_t least, std::int64_t most,
-                         std::int64_t otherwise) const {
-    const Value* v = find(name);
-    return v == nullptr ? otherwise : checkInteger(*v, name, least, most);
-  }
-  double number(const char* name) const { return checkNumber(need(name), name); }
-  double numberOr(const char* name, double otherwise) const {
-    const Value* v = find(name);
-    return v == nullptr ? otherwise : checkNumber(*v, name);
-  }
-  std::string text(const char* name) const { return checkText(need(name), name); }
-  std::string textOr(const char* name, const char* otherwise) const {
-    const Value* v = find(name);
-    return v == nullptr ? otherwise : checkText(*v, name);
-  }
-  bool mark(const char* name) const {  // an absent mark is false
-    const Value* v = find(name);
-    if (v != nullptr && !v->IsBool()) bad(where_, std::string("'") + name + "' is not true or false");
-    return v != nullptr && v->GetBool();
-  }
-  const Value& array(const char* name) const {
-    const Value& v = need(name);
-    if (!v.IsArray()) bad(where_, std::string("'") + name + "' is not an array");
-    return v;
-  }
-
- private:
-  std::int64_t checkInteger(const Value& v, const char* name, std::int64_t least, std::int64_t most) const {
-    if (!v.IsInt64()) bad(where_, std::string("'") + name + "' is not a whole number");
-    if (v.GetInt64() < least || v.GetInt64() > most)
-      bad(where_, std::string("'") + name + "' is out of range");
-    return v.GetInt64();
-  }
-  double checkNumber(const Value& v, const char* name) const {
-    if (!v.IsNumber() || !std::isfinite(v.GetDouble()))
-      bad(where_, std::string("'") + name + "' is not a number");
-    return v.GetDouble();
-  }
-  std::string checkText(const Value& v, const char* name) const {
-    if (!v.IsString()) bad(where_, std::string("'") + name + "' is not a text");
-    return {v.GetString(), v.GetStringLength()};
-  }
-
-  const Value& value_;
-  std::string where_;
-};
-
-constexpr std::int64_t kIntMax = 2147483647;
-constexpr std::int64_t kMicrosMax = INT64_MAX;
-constexpr std::int64_t kProxyMax = 65535;
-constexpr std::int64_t kTableMax = 65535;
-
-std::string serverId(const Fields& f, const char* name) {
-  std::string id = f.text(name);
-  bool good = !id.empty();
-  for (unsigned char c : id) good = good && c > ' ' && c < 127 && c != '"' && c != '\\';
-  if (!good) bad(f.where(), std::string("'") + name + "' is not a server id");
-  return id;
-}
-
-template <class T>
-T oneOf(const Fields& f, const char* name, const std::map<std::string, T>& words) {
-  auto it = words.find(f.text(name));
-  if (it == words.end()) bad(f.where(), std::string("'") + name + "' has an unknown value");
-  return it->second;
-}
-
 std::string fromHex(const Fields& f, const char* name) {
   const std::string hex = f.text(name);
   auto digit = [&](char c) -> int {
@@ -175,6 +81,8 @@
   }
 }
 
+}  // namespace
+
 Settings parseSettings(const Value& value, const std::string& where) {
   const Fields f(value, where);
   Settings s;
@@ -203,6 +111,8 @@
   return s;
 }
 
+namespace {
+
 // ---- Events ----
 
 int zoneOf(const Fields& f) { return static_cast<int>(f.integer("rackZone", 0, kIntMax)); }
@@ -415,12 +325,7 @@
 
 Batch parseBatch(const std::string& line) {
   rapidjson::Document doc;
-  doc.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseValidateEncodingFlag>(line.data(),
-                                                                                        line.size());
-  if (doc.HasParseError()) {
-    bad("batch", std::string("not JSON: ") + rapidjson::GetParseError_En(doc.GetParseError()) + " at byte " +
-                     std::to_string(doc.GetErrorOffset()));
-  }
+  parseJson(doc, line, "batch");
   const Fields f(doc, "batch");
   Batch batch;
   batch.turn = f.integer("turn", 0, kMicrosMax);
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -3,20 +3,15 @@
 #pragma once
 
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "peargrade/director.h"
+#include "wire/malformed.h"
 
 namespace peargrade::wire {
 
-// A batch that is not what the wire promises. The text names the batch and what was wrong.
-class Malformed : public std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 struct NewInstance {
   std::uint64_t seed = 0;
   Settings settings;
