A standstill of its own is no silence of the relay; own calls during a repetition are expected

A call that went out while what stands was repeated made its slice look written by another (newsbook.cpp: expected); the slice would have counted as given anew, its levels forgotten. Both tests fail without the mend.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -59,6 +59,10 @@
   sweeper_.in(limits_.sweep);
 }
 
+Clients::~Clients() {
+  while (!peers_.empty()) end(peers_.begin(), log::Reason::Stopping, "");
+}
+
 void Clients::onAccept(evconnlistener*, evutil_socket_t fd, sockaddr* from, int, void* self) {
   static_cast<Clients*>(self)->accept(fd, nameOf(from));
 }
--- a/src/clients/clients.h
+++ b/src/clients/clients.h
@@ -26,6 +26,7 @@
   // Throws std::runtime_error when the address cannot be listened on.
   Clients(event_base* base, const net::Address& address, const discovery::Names& names, int slices,
           exchange::Exchange& exchange, log::Log& log, Limits limits);
+  ~Clients();
 
   std::size_t connections() const { return peers_.size(); }
   // Where it listens; the port is the system's choice if the address left it open.
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -25,7 +25,10 @@
   exchange_.onListCall([this](Call call) { want(call); });
 }
 
-Discovery::~Discovery() { exchange_.onListCall(nullptr); }
+Discovery::~Discovery() {
+  exchange_.onListCall(nullptr);
+  if (connection_ && !over_) log_.ended("discovery", address_.text(), log::Reason::Stopping, "");
+}
 
 // One call at a time: what is wanted meanwhile waits. A watch that stands serves a watch that is asked for; a
 // fetch beside it ends it for the time of the fetch.
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -59,6 +59,22 @@
   EventHandle event_;
 };
 
+// A limit on a peer's silence. When it has passed, what has come meanwhile is read first: a process that
+// stood still would else take its own pause for the peer's silence.
+class Limit {
+ public:
+  Limit(event_base* base, std::function<void()> passed);
+  void in(Micros span);  // from now; replaces what was set
+  void cancel() { timer_.cancel(); }
+
+ private:
+  static constexpr Micros kLastChance = 10000;
+
+  std::function<void()> passed_;
+  bool lastChance_ = false;
+  Timer timer_;
+};
+
 // Waits between dials: doubled after each failure, with jitter so that peers do not dial in step.
 class Backoff {
  public:
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -49,7 +49,8 @@
   const std::string& skipped() const { return skipped_; }
 
   struct Counts {
-    std::uint64_t replies = 0, calls = 0, answered = 0, merged = 0, superseded = 0, repeated = 0, settled = 0, lost = 0;
+    std::uint64_t replies = 0, calls = 0, answered = 0, merged = 0, superseded = 0, repeated = 0, settled = 0,
+                  lost = 0;
   };
   const Counts& counts() const { return counts_; }
 
--- a/src/relay/newsbook.cpp
+++ b/src/relay/newsbook.cpp
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-void NewsBook::begin(const std::vector<Order>& doubted) {
+void NewsBook::begin(const Call& flight, bool inDoubt) {
   settling_ = true;
   doubtCarriedOut_ = false;
   unseenProxies_ = proxies_;
@@ -42,20 +42,30 @@
   for (const auto& [slice, lines] : slices_) unseenSlices_.insert(slice);
   repeated_ = -1;
   told_.clear();
-  doubted_ = doubted;
+  before_ = slices_;
+  since_.clear();
+  if (!flight.empty()) since_.push_back(flight);
+  firstInDoubt_ = inDoubt;
+}
+
+void NewsBook::sent(const Call& call) {
+  if (settling_) since_.push_back(call);
 }
 
 void NewsBook::taken(const Order& order) { apply(order, slices_); }
 
-// Whether the lines told for a slice are those that the store should hold, with the call in doubt or without
-// it.
-bool NewsBook::same(TableId slice, const Lines& told) {
-  if (equalLines(slices_[slice], told)) return true;
-  std::map<TableId, Lines> after{{slice, slices_[slice]}};
-  for (const Order& order : doubted_) apply(order, after);
-  if (!equalLines(after[slice], told)) return false;
-  doubtCarriedOut_ = true;
-  return true;
+// Whether the lines told for a slice are what the store held as the stream began, or that with the calls that
+// have gone out since, up to any one of them.
+bool NewsBook::expected(TableId slice, const Lines& told) {
+  std::map<TableId, Lines> state{{slice, before_[slice]}};
+  if (equalLines(state[slice], told)) return true;
+  for (std::size_t k = 0; k < since_.size(); ++k) {
+    for (const Order& order : since_[k]) apply(order, state);
+    if (!equalLines(state[slice], told)) continue;
+    doubtCarriedOut_ = doubtCarriedOut_ || firstInDoubt_;
+    return true;
+  }
+  return false;
 }
 
 // A slice of ours has been repeated in full. Where another supervisor wrote it meanwhile, it counts as given
@@ -63,7 +73,7 @@
 void NewsBook::closeRepeat(std::vector<Event>& events) {
   if (repeated_ < 0) return;
   const TableId slice = std::exchange(repeated_, -1);
-  if (same(slice, told_)) return;
+  if (expected(slice, told_)) return;
   slices_[slice] = told_;
   events.push_back(SliceCharge{slice, false});
   events.push_back(SliceCharge{slice, true});
@@ -123,7 +133,8 @@
   }
   unseenProxies_.clear();
   unseenSlices_.clear();
-  doubted_.clear();
+  before_.clear();
+  since_.clear();
 }
 
 }  // namespace peargrade::relay
--- a/src/relay/newsbook.h
+++ b/src/relay/newsbook.h
@@ -12,9 +12,11 @@
 
 class NewsBook {
  public:
-  // A stream of news begins; `doubted` are the orders of a call in doubt, which the store may or may not
-  // show.
-  void begin(const std::vector<Order>& doubted);
+  using Call = std::vector<Order>;
+  // A stream of news begins; the store may or may not show the call that is under way or in doubt.
+  void begin(const Call& flight, bool inDoubt);
+  // A call goes out: while what stands is being repeated, the store may or may not show it.
+  void sent(const Call& call);
   // One line of news; what it changes is added to `events`.
   void take(const News& news, std::vector<Event>& events);
   // The repetition is over: what was not repeated has gone.
@@ -30,7 +32,7 @@
  private:
   using Lines = std::map<ServerId, double>;
   void closeRepeat(std::vector<Event>& events);
-  bool same(TableId slice, const Lines& told);
+  bool expected(TableId slice, const Lines& told);
 
   std::set<ProxyId> proxies_;
   std::map<TableId, Lines> slices_;  // in our charge, with the lines of the store
@@ -40,7 +42,9 @@
   std::set<TableId> unseenSlices_;
   TableId repeated_ = -1;  // a slice of ours that is being repeated, and its lines so far
   Lines told_;
-  std::vector<Order> doubted_;
+  std::map<TableId, Lines> before_;  // slices_ as the stream began
+  std::vector<Call> since_;          // calls that the store may show beyond that, in sequence
+  bool firstInDoubt_ = false;
 };
 
 }  // namespace peargrade::relay
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -18,8 +18,8 @@
       newsLines_(limits.line),
       newsBackoff_(limits.redialLeast, limits.redialMost, seed),
       newsRedial_(base, [this] { dialNews(); }),
-      newsSilence_(base, [this] { endNews(log::Reason::Silent, "no sign of life"); }),
       gather_(base, [this] { handOn(); }),
+      newsSilence_(base, [this] { endNews(log::Reason::Silent, "no sign of life"); }),
       answers_(limits.line),
       callBackoff_(limits.redialLeast, limits.redialMost, seed + 1),
       callRedial_(base, [this] { push(); }),
@@ -29,7 +29,11 @@
   dialNews();
 }
 
-Relay::~Relay() { exchange_.onOrders(nullptr); }
+Relay::~Relay() {
+  exchange_.onOrders(nullptr);
+  if (news_) log_.ended("relay", address_.text() + " news", log::Reason::Stopping, "");
+  if (line_) log_.ended("relay", address_.text() + " calls", log::Reason::Stopping, "");
+}
 
 // ---- News ----
 
@@ -64,7 +68,7 @@
     newsOpen_ = true;
     openedAt_ = net::steadyNow();
     newsBackoff_.reset();
-    book_.begin(calls_.flight());
+    book_.begin(calls_.flight(), calls_.inDoubt());
     exchange_.relayUp();
     return true;
   }
@@ -135,6 +139,7 @@
   }
   if (!line_->up()) return;
   const std::string call = calls_.begin();
+  book_.sent(calls_.flight());
   if (log_.shows(log::Level::Debug)) log_.debug("relay") << call.substr(0, call.size() - 2);
   line_->send(call);
   answerLimit_.in(limits_.answer);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -60,13 +60,15 @@
   std::vector<Event> held_;  // not yet handed on
   Micros heldSince_ = 0;
   net::Backoff newsBackoff_;
-  net::Timer newsRedial_, newsSilence_, gather_;
+  net::Timer newsRedial_, gather_;
+  net::Limit newsSilence_;
 
   std::unique_ptr<net::Stream> line_;  // for the calls
   net::Lines answers_;
   Calls calls_;
   net::Backoff callBackoff_;
-  net::Timer callRedial_, answerLimit_;
+  net::Timer callRedial_;
+  net::Limit answerLimit_;
 };
 
 }  // namespace peargrade::relay
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -211,23 +211,23 @@
 };
 
 TEST_F(Book, ARepetitionThatChangesNothingHandsOnNothing) {
-  book.begin({});
+  book.begin({}, false);
   read({"* attach 1 a 2 1", "* owner 5 1", "* entry 5 s 1.0", "* owner 6 1", "*"});
   book.settle(events);
   EXPECT_EQ(fresh(), 4u);
   book.taken(*toOrder(SetLine{5, "t", 0.5}, testNames()));
-  book.begin({});
+  book.begin({}, false);
   read({"* attach 1 a 2 0", "* owner 5 1", "* entry 5 s 1.0", "* entry 5 t 0.5", "* owner 6 1", "*"});
   book.settle(events);
   EXPECT_EQ(fresh(), 0u) << "no proxy joins twice, no slice is given twice";
 }
 
 TEST_F(Book, WhatIsNoLongerNamedHasGone) {
-  book.begin({});
+  book.begin({}, false);
   read({"* attach 1 a 2 1", "* attach 2 a 2 1", "* owner 5 1", "* entry 5 s 1.0", "* owner 6 1"});
   book.settle(events);
   fresh();
-  book.begin({});
+  book.begin({}, false);
   read({"* attach 2 a 2 0", "* attach 3 b 2 1", "* owner 6 1"});
   EXPECT_EQ(fresh(), 1u) << "the new proxy at once";
   book.settle(events);
@@ -238,11 +238,11 @@
 }
 
 TEST_F(Book, AProxyThatStartedAnewBetweenHasLeftAndJoined) {
-  book.begin({});
+  book.begin({}, false);
   read({"* attach 1 a 2 1"});
   book.settle(events);
   fresh();
-  book.begin({});
+  book.begin({}, false);
   read({"* attach 1 a 2 1"});
   ASSERT_EQ(events.size(), 2u);
   EXPECT_EQ(std::get<ProxyLeft>(events[0]).proxy, 1);
@@ -250,11 +250,11 @@
 }
 
 TEST_F(Book, ASliceThatAnotherWroteMeanwhileIsGivenAnew) {
-  book.begin({});
+  book.begin({}, false);
   read({"* owner 5 1", "* entry 5 s 1.0", "*"});
   book.settle(events);
   fresh();
-  book.begin({});
+  book.begin({}, false);
   read({"* owner 5 1", "* entry 5 t 1.0", "*"});
   ASSERT_EQ(events.size(), 3u);
   EXPECT_FALSE(std::get<SliceCharge>(events[0]).given);
@@ -263,23 +263,41 @@
 }
 
 TEST_F(Book, TheStoreSettlesACallInDoubt) {
-  book.begin({});
+  book.begin({}, false);
   read({"* owner 5 1", "* entry 5 s 1.0", "*"});
   book.settle(events);
   fresh();
   const std::vector<Order> doubted = {*toOrder(SetLine{5, "t", 1}, testNames()),
                                       *toOrder(SetLine{5, "s", 0}, testNames())};
-  book.begin(doubted);
+  book.begin(doubted, true);
   read({"* owner 5 1", "* entry 5 s 1.0", "*"});
   EXPECT_FALSE(book.doubtCarriedOut());
-  book.begin(doubted);
+  book.begin(doubted, true);
   read({"* owner 5 1", "* entry 5 t 1.0", "*"});
   EXPECT_TRUE(book.doubtCarriedOut());
   EXPECT_EQ(fresh(), 0u) << "they are the supervisor's own lines";
 }
 
+// Guards against a slice that counts as given anew, its levels forgotten, because our own call went out
+// between.
+TEST_F(Book, OwnCallsDuringTheRepetitionAreExpected) {
+  book.begin({}, false);
+  read({"* owner 5 1", "* entry 5 s 1.0", "* owner 6 1", "* entry 6 s 1.0", "*"});
+  book.settle(events);
+  fresh();
+  const Order five = *toOrder(SetLine{5, "t", 1}, testNames()),
+              six = *toOrder(SetLine{6, "t", 1}, testNames());
+  book.begin({}, false);
+  book.sent({five});
+  book.taken(five);
+  book.sent({six});
+  read({"* owner 5 1", "* entry 5 s 1.0", "* entry 5 t 1.0", "* owner 6 1", "* entry 6 s 1.0", "*"});
+  EXPECT_EQ(fresh(), 0u);
+  EXPECT_FALSE(book.doubtCarriedOut());
+}
+
 TEST_F(Book, LinesOfSlicesThatAreNotOursAreLeftOut) {
-  book.begin({});
+  book.begin({}, false);
   read({"* entry 5 s 1.0", "* owner 5 0", "* detach 9", "* done 9 1 1"});
   EXPECT_EQ(fresh(), 0u);
 }
@@ -389,6 +407,54 @@
   EXPECT_EQ(relay->counts().repeated, 1u);
 }
 
+// Guards against a supervisor that stood still and takes its own pause for the relay's silence: the answer
+// has come in time, so the call is not in doubt.
+TEST_F(WithRelay, AStandstillOfItsOwnIsNoSilenceOfTheRelay) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&at), size), 0);
+  ASSERT_EQ(listen(listener, 8), 0);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size);
+  Relay::Limits limits;
+  limits.answer = 1000000;
+  limits.newsSilence = 1000000;
+  relay = std::make_unique<Relay>(loop.base.get(), net::Address{"127.0.0.1", ntohs(at.sin_port)}, names, 100,
+                                  1, exchange, *log.log, limits);
+  evutil_make_socket_nonblocking(listener);
+  const auto accepted = [&] {
+    int fd = -1;
+    EXPECT_TRUE(until([&] { return (fd = accept(listener, nullptr, nullptr)) >= 0; }));
+    evutil_make_socket_nonblocking(fd);
+    return fd;
+  };
+  const auto readAll = [&](int fd, const std::string& end) {
+    std::string text;
+    EXPECT_TRUE(until([&] {
+      char piece[1000];
+      const ssize_t n = read(fd, piece, sizeof piece);
+      if (n > 0) text.append(piece, static_cast<std::size_t>(n));
+      return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+    }));
+  };
+  const int news = accepted();
+  readAll(news, "WATCH\r\n");
+  ASSERT_EQ(write(news, "OK\r\n", 4), 4);
+  exchange.carry({SetLine{7, "s", 1}, Mark{1}});
+  const int calls = accepted();
+  readAll(calls, "fence,1,0\r\n");
+  ASSERT_EQ(write(calls, "OK 2\r\n", 6), 6);
+  ASSERT_EQ(write(news, "*\r\n", 3), 3);
+  const Micros end = net::steadyNow() + 1050000;  // the standstill: both limits pass
+  while (net::steadyNow() < end) {
+  }
+  ASSERT_TRUE(until([&] { return relay->counts().answered == 1; }));
+  EXPECT_EQ(log.count(" ended code="), 0u) << log.text;
+  for (int fd : {listener, news, calls}) close(fd);
+}
+
 TEST_F(WithRelay, ACallThatAProxyConfirmedIsNotRepeated) {
   there.proxies[1] = {"a", 1, true};
   Relay::Limits limits;
--- a/tests/serve_test.cpp
+++ b/tests/serve_test.cpp
@@ -170,7 +170,10 @@
   })) << program.output();
   program.signal(SIGTERM);
   EXPECT_EQ(program.wait(), 0);
-  EXPECT_NE(program.output().find("supervisor: stopping"), std::string::npos);
+  const std::string output = program.output();
+  EXPECT_NE(output.find("supervisor: stopping"), std::string::npos);
+  for (const char* peer : {" prober ended", " news ended", " calls ended", "discovery: connection "})
+    EXPECT_NE(output.find(peer), std::string::npos) << "no line for" << peer << " in\n" << output;
 }
 
 // A supervisor knows nothing but its configuration after a restart; neither peer has to be there.
