--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -111,6 +111,7 @@
     } catch (const wire::Malformed& e) {
       return end(peer, log::Reason::BadMessage, e.what());
     }
+    peer->framing.compact();
     count(peer);
     if (next == Framing::Next::TooLong) return end(peer, log::Reason::BadLength, "frame over 1 MiB");
   }
--- a/src/clients/framing.h
+++ b/src/clients/framing.h
@@ -28,7 +28,14 @@
     done_ += 4 + length;
     return Next::Frame;
   }
-  std::size_t held() const { return buffer_.size() - done_; }
+  // Gives back the memory of a long message once nothing is left of it.
+  void compact() {
+    if (done_ < buffer_.size()) return;
+    std::string().swap(buffer_);
+    done_ = 0;
+  }
+  // Memory that an unfinished message holds.
+  std::size_t held() const { return done_ < buffer_.size() ? buffer_.capacity() : 0; }
 
   static std::string frame(const std::string& body) {
     std::string bytes;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -84,29 +84,49 @@
 }
 
 Config parse(const std::string& text, const Environment& environment) {
-  try {
-    rapidjson::Document doc;
+  std::string problems;
+  const auto attempt = [&](const auto& part) {
+    try {
+      part();
+    } catch (const std::runtime_error& e) {  // Wrong or Malformed: both name the field
+      problems += (problems.empty() ? "" : "\n") + std::string(e.what());
+    }
+  };
+  Config c;
+  rapidjson::Document doc;
+  attempt([&] {
     wire::parseJson(doc, text, "configuration");
     const Fields f(doc, "configuration");
-    Config c;
-    c.name = told(f, "name", "NODE_NAME", environment);
-    c.listen = addressOf(told(f, "listen", "NODE_LISTEN", environment), "listen");
-    c.discovery = addressOf(told(f, "discovery", "NODE_DISCOVERY", environment), "discovery");
-    c.relay = addressOf(Fields(f.need("relay"), "relay").text("address"), "relay.address");
-    if (c.relay.text() == c.listen.text()) wrong("relay.address", "is the supervisor's own address");
-    if (c.discovery.text() == c.listen.text()) wrong("discovery", "is the supervisor's own address");
-    c.seed = f.find("seed") == nullptr ? 0 : seedOf(f.text("seed"));
-    if (const wire::Value* limits = f.find("limits")) c.limits = parseLimits(Fields(*limits, "limits"));
-    c.settings = wire::parseSettings(f.need("settings"), "settings");
-    if (c.settings.slices == 0) wrong("settings.extra.shards", "is 0: this protocol needs slices");
-    c.names = parseNames(Fields(f.need("settings"), "settings"));
-    if (const wire::Value* known = f.find("known"))
-      c.known = discovery::parseCatalog(*known, c.names, "known");
-    c.known.mode = ListMode::Cached;
-    return c;
-  } catch (const wire::Malformed& e) {
-    throw Wrong(e.what());
-  }
+    attempt([&] { c.name = told(f, "name", "NODE_NAME", environment); });
+    attempt([&] { c.listen = addressOf(told(f, "listen", "NODE_LISTEN", environment), "listen"); });
+    attempt(
+        [&] { c.discovery = addressOf(told(f, "discovery", "NODE_DISCOVERY", environment), "discovery"); });
+    attempt([&] { c.relay = addressOf(Fields(f.need("relay"), "relay").text("address"), "relay.address"); });
+    attempt([&] {
+      if (c.relay.port != 0 && c.relay.text() == c.listen.text())
+        wrong("relay.address", "is the supervisor's own address");
+    });
+    attempt([&] {
+      if (c.discovery.port != 0 && c.discovery.text() == c.listen.text())
+        wrong("discovery", "is the supervisor's own address");
+    });
+    attempt([&] { c.seed = f.find("seed") == nullptr ? 0 : seedOf(f.text("seed")); });
+    attempt([&] {
+      if (const wire::Value* limits = f.find("limits")) c.limits = parseLimits(Fields(*limits, "limits"));
+    });
+    attempt([&] {
+      c.settings = wire::parseSettings(f.need("settings"), "settings");
+      if (c.settings.slices == 0) wrong("settings.extra.shards", "is 0: this protocol needs slices");
+    });
+    attempt([&] {
+      c.names = parseNames(Fields(f.need("settings"), "settings"));
+      if (const wire::Value* known = f.find("known"))
+        c.known = discovery::parseCatalog(*known, c.names, "known");
+      c.known.mode = ListMode::Cached;
+    });
+  });
+  if (!problems.empty()) throw Wrong(problems);
+  return c;
 }
 
 Config load(const std::string& path, const Environment& environment) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -13,7 +13,7 @@
 
 namespace peargrade::config {
 
-// The text names the field and what is wrong with it.
+// The text has a line for each field that is wrong: its name and what is wrong with it.
 class Wrong : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <map>
 #include <string>
 
 #include "config/config.h"
@@ -31,8 +32,14 @@
   app.require_subcommand(1);
   app.failure_message(CLI::FailureMessage::help);
   std::string path, level = "info";
+  std::map<std::string, std::string> told;  // by variable: what an option or the variable says
   const auto withConfig = [&](CLI::App* command) {
     command->add_option("-c,--config", path, "configuration file")->envname("NODE_CONFIG")->required();
+    command->add_option("--name", told["NODE_NAME"], "its name; before the file's")->envname("NODE_NAME");
+    command->add_option("--listen", told["NODE_LISTEN"], "address to listen on; before the file's")
+        ->envname("NODE_LISTEN");
+    command->add_option("--discovery", told["NODE_DISCOVERY"], "discovery's address; before the file's")
+        ->envname("NODE_DISCOVERY");
     return command;
   };
   CLI::App* serve = withConfig(app.add_subcommand("serve", "run one supervisor until SIGTERM"));
@@ -49,7 +56,10 @@
     return 0;
   }
   try {
-    const Config config = peargrade::config::load(path, peargrade::config::processEnvironment);
+    const Config config = peargrade::config::load(path, [&](const char* variable) {
+      const auto it = told.find(variable);
+      return it == told.end() ? std::nullopt : std::optional<std::string>(it->second);
+    });
     if (check->parsed()) {
       std::cout << tableOf(config);
       return 0;
@@ -57,7 +67,7 @@
     peargrade::log::Log log(STDERR_FILENO, *peargrade::log::levelNamed(level));
     return peargrade::supervisor::serve(config, log);
   } catch (const peargrade::config::Wrong& e) {
-    std::cerr << "peargrade: configuration: " << e.what() << '\n';
+    std::cerr << "peargrade: the configuration is wrong (" << path << "):\n" << e.what() << '\n';
     return 2;
   } catch (const std::exception& e) {
     std::cerr << "peargrade: " << e.what() << '\n';
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -67,7 +67,6 @@
     }
     newsOpen_ = true;
     openedAt_ = net::steadyNow();
-    newsBackoff_.reset();
     book_.begin(calls_.flight(), calls_.inDoubt());
     exchange_.relayUp();
     return true;
@@ -81,6 +80,8 @@
     const bool life = std::holds_alternative<SignOfLife>(news);
     if (life && book_.settling() && net::steadyNow() - openedAt_ > limits_.settleAfter) {
       book_.settle(held_);
+      newsBackoff_
+          .reset();  // not before: a relay that answers and breaks off at once is not dialled in a spin
     }
     if (book_.doubtCarriedOut()) calls_.carriedOut();
     if (held_.size() == before) return true;
@@ -89,9 +90,9 @@
     const bool part = std::holds_alternative<SliceCharge>(news) || std::holds_alternative<StoredLine>(news);
     const Micros now = net::steadyNow();
     if (before == 0) heldSince_ = now;
-    if (part || gather_.set())
+    if (part)
       gather_.in(std::min(limits_.gather, heldSince_ + limits_.gatherMost - now));
-    else
+    else if (!gather_.set())
       handOn();
     return true;
   } catch (const wire::Malformed& e) {
--- a/src/supervisor/serve.cpp
+++ b/src/supervisor/serve.cpp
@@ -1,5 +1,8 @@
 #include "supervisor/serve.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 
@@ -17,6 +20,13 @@
 constexpr Micros kReadyAtLast = 1500000;  // heartbeats are answered then whatever does not answer
 constexpr int kOwnDescriptors = 48;       // relay, discovery, loop, log and room for those just ended
 
+// As many as the configuration grants, but no more than the system lets this process have.
+int descriptors(const config::Config& config) {
+  rlimit own{};
+  if (getrlimit(RLIMIT_NOFILE, &own) != 0 || own.rlim_cur == RLIM_INFINITY) return config.limits.sockets;
+  return static_cast<int>(std::min<rlim_t>(own.rlim_cur, static_cast<rlim_t>(config.limits.sockets)));
+}
+
 }  // namespace
 
 int serve(const config::Config& config, log::Log& log) {
@@ -33,7 +43,7 @@
   exchange::Exchange exchange;
   Supervisor supervisor(config.seed, config.settings, exchange, log);
   clients::Clients::Limits clientLimits;
-  clientLimits.connections = static_cast<std::size_t>(config.limits.sockets - kOwnDescriptors);
+  clientLimits.connections = static_cast<std::size_t>(std::max(16, descriptors(config) - kOwnDescriptors));
   clients::Clients clients(base.get(), config.listen, config.names, config.settings.slices, exchange, log,
                            clientLimits);
   discovery::Discovery discovery(base.get(), config.discovery, config.names, config.known.version, exchange,
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -44,6 +44,24 @@
   EXPECT_EQ(over.next(frame), Framing::Next::TooLong);
 }
 
+// Guards against a long message of each of many peers whose memory is kept for good.
+TEST(Framing, MemoryOfALongMessageIsGivenBack) {
+  Framing framing;
+  const std::string bytes = Framing::frame(std::string(1 << 20, 'x'));
+  std::string frame;
+  framing.add(bytes.data(), bytes.size() - 1);
+  EXPECT_EQ(framing.next(frame), Framing::Next::More);
+  framing.compact();
+  EXPECT_GE(framing.held(), bytes.size() - 1) << "unfinished: nothing is lost";
+  framing.add(bytes.data() + bytes.size() - 1, 1);
+  EXPECT_EQ(framing.next(frame), Framing::Next::Frame);
+  EXPECT_EQ(frame.size(), std::size_t{1} << 20);
+  framing.compact();
+  EXPECT_EQ(framing.held(), 0u);
+  framing.add(bytes.data(), 5);
+  EXPECT_LT(framing.held(), 100u) << "the memory of the first is gone";
+}
+
 TEST(Messages, EachKindIsReadInUnitsOfTheModule) {
   const auto names = testNames();
   EXPECT_TRUE(std::holds_alternative<Heartbeat>(parseMessage(R"({"type":"hb"})", names, 10)));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <random>
 
 namespace peargrade::config {
 namespace {
@@ -84,6 +85,38 @@
   }
 }
 
+TEST(Config, AllThatIsWrongIsNamedAtOnce) {
+  std::string text = with("127.0.0.4:3000", "here");
+  text.replace(text.find("127.2.0.2:6400"), 14, "there");
+  text.replace(text.find("SERVING"), 7, "FINE");
+  try {
+    read(text);
+    ADD_FAILURE();
+  } catch (const Wrong& e) {
+    for (const char* field : {"listen: 'here'", "\nrelay.address: 'there'", "\nknown: targets: 'state'"})
+      EXPECT_NE(std::string(e.what()).find(field), std::string::npos) << e.what();
+  }
+}
+
+// Property: whatever the file holds, it is taken or complained of; nothing else.
+TEST(Config, RandomChangesNeverDoMoreThanComplain) {
+  std::mt19937 random(3);
+  int taken = 0, refused = 0;
+  for (int round = 0; round < 5000; ++round) {
+    std::string text = kGood;
+    for (unsigned k = random() % 3; k > 0; --k)
+      text[random() % text.size()] = static_cast<char>(random() % 256);
+    try {
+      read(text);
+      ++taken;
+    } catch (const Wrong&) {
+      ++refused;
+    }
+  }
+  EXPECT_GT(taken, 500);
+  EXPECT_GT(refused, 500);
+}
+
 TEST(Config, AFileThatIsNotThereIsSaid) {
   try {
     load("/nowhere/config.json", processEnvironment);
