--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -106,6 +106,7 @@
     Framing::Next next;
     try {
       while ((next = peer->framing.next(frame)) == Framing::Next::Frame) {
+        if (log_.shows(log::Level::Debug)) log_.debug("clients") << frame;
         if (!onMessage(peer, parseMessage(frame, names_, slices_))) return;
       }
     } catch (const wire::Malformed& e) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -17,13 +17,13 @@
 class Relay {
  public:
   struct Limits {
-    Micros connect = 500000;       // a dial
+    Micros connect = 250000;       // a dial; the relay is near
     Micros newsSilence = 2500000;  // a sign of life comes every 1 s
     Micros answer = 250000;        // an answer comes within 50 ms or never
     Micros throttled = 100000;     // wait before a throttled call is tried again
     Micros gather = 20000;         // a slice and its lines are handed on together once the news pause so long
     Micros gatherMost = 200000;    // but not later than this
-    Micros redialLeast = 20000, redialMost = 1000000;
+    Micros redialLeast = 20000, redialMost = 250000;
     Micros settleAfter = 300000;  // what stands has been repeated at the first sign of life after this
     std::size_t line = 4096;      // longest line of the relay
   };
