--- a/examples/standins.cpp
+++ b/examples/standins.cpp
@@ -1,9 +1,7 @@
 #include "standins.h"
 
-#include <arpa/inet.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -47,10 +45,7 @@
 }
 
 void Relay::listen() {
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_port = htons(address_.port);
-  inet_pton(AF_INET, address_.host.c_str(), &at.sin_addr);
+  sockaddr_in at = address_.socket();
   const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
     static_cast<Relay*>(self)->accept(fd);
   };
--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -1,7 +1,6 @@
 #include "clients/clients.h"
 
 #include <arpa/inet.h>
-#include <netinet/in.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -14,14 +13,6 @@
 const std::string kHeartbeatAnswer = Framing::frame(R"({"type":"hb_ok"})");
 constexpr int kHeartbeatsMost = 64;  // waiting on one connection until the supervisor can act
 
-sockaddr_in toSocket(const net::Address& address) {
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.host.c_str(), &at.sin_addr);
-  return at;
-}
-
 std::string nameOf(const sockaddr* from) {
   if (from == nullptr || from->sa_family != AF_INET) return "?";
   const auto* in = reinterpret_cast<const sockaddr_in*>(from);
@@ -43,7 +34,7 @@
       limits_(limits),
       sweeper_(base, [this] { sweep(); }),
       resume_(base, [this] { evconnlistener_enable(listener_.get()); }) {
-  sockaddr_in at = toSocket(address);
+  sockaddr_in at = address.socket();
   listener_.reset(evconnlistener_new_bind(base, onAccept, this,
                                           LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
                                           512, reinterpret_cast<sockaddr*>(&at), sizeof at));
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -12,7 +12,7 @@
 namespace peargrade::log {
 namespace {
 
-constexpr std::size_t kBufferMax = 256 * 1024;
+constexpr std::size_t kBufferMax = std::size_t{256} << 10;
 constexpr std::size_t kLineMax = 2048;
 const char* const kLevels[] = {"debug", "info", "warn", "error", "off"};
 
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -1,7 +1,6 @@
 #include "net/net.h"
 
 #include <arpa/inet.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <algorithm>
@@ -50,6 +49,14 @@
   return address;
 }
 
+sockaddr_in Address::socket() const {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(port);
+  inet_pton(AF_INET, host.c_str(), &at.sin_addr);
+  return at;
+}
+
 Timer::Timer(event_base* base, std::function<void()> fired)
     : fired_(std::move(fired)),
       event_(made(event_new(
@@ -86,10 +93,7 @@
 Stream::Stream(event_base* base, const Address& to, Micros connectWithin, Handlers handlers)
     : handlers_(std::make_shared<Handlers>(std::move(handlers))),
       buffer_(made(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(to.port);
-  inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+  sockaddr_in address = to.socket();
   start();
   const timeval limit = toTimeval(connectWithin);
   bufferevent_set_timeouts(buffer_.get(), nullptr, &limit);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <cstdint>
@@ -43,6 +44,7 @@
 
   static std::optional<Address> parse(const std::string& text);
   std::string text() const { return host + ":" + std::to_string(port); }
+  sockaddr_in socket() const;
 };
 
 class Timer {
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -292,11 +292,8 @@
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   const int small = 4096;
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_port = htons(clients->address().port);
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+  const sockaddr_in at = clients->address().socket();
+  ASSERT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
   evutil_make_socket_nonblocking(fd);
   std::string many;
   for (int k = 0; k < 1000; ++k) many += Framing::frame(R"({"type":"hb"})");
