SIGHUP reads the configuration anew and moves discovery and relay make before break

Cause: no handler for SIGHUP (serve.cpp), and nothing that could change an address (Discovery and Relay kept the address of their start; NODE_DISCOVERY would have pinned it, config.cpp told()).

The file's discovery goes before the variable on a reload. A new watch and new news come up while the old ones serve; a call under way is answered on its old line or is in doubt and settled or repeated at the new address before anything newer. A dial of discovery is given up after 0.5 s, silence noticed after 3 s in place of 5 (what it tells counts as told after 6 s).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,8 @@
 #include "config/config.h"
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -83,7 +86,7 @@
   return value == nullptr ? std::nullopt : std::optional<std::string>(value);
 }
 
-Config parse(const std::string& text, const Environment& environment) {
+Config parse(const std::string& text, const Environment& environment, Newer newer) {
   std::string problems;
   const auto attempt = [&](const auto& part) {
     try {
@@ -99,8 +102,11 @@
     const Fields f(doc, "configuration");
     attempt([&] { c.name = told(f, "name", "NODE_NAME", environment); });
     attempt([&] { c.listen = addressOf(told(f, "listen", "NODE_LISTEN", environment), "listen"); });
-    attempt(
-        [&] { c.discovery = addressOf(told(f, "discovery", "NODE_DISCOVERY", environment), "discovery"); });
+    attempt([&] {
+      const bool file = newer == Newer::File && f.find("discovery") != nullptr;
+      c.discovery = addressOf(
+          file ? f.text("discovery") : told(f, "discovery", "NODE_DISCOVERY", environment), "discovery");
+    });
     attempt([&] { c.relay = addressOf(Fields(f.need("relay"), "relay").text("address"), "relay.address"); });
     attempt([&] {
       if (c.relay.port != 0 && c.relay.text() == c.listen.text())
@@ -116,6 +122,10 @@
     });
     attempt([&] {
       c.settings = wire::parseSettings(f.need("settings"), "settings");
+      rapidjson::StringBuffer bytes;
+      rapidjson::Writer<rapidjson::StringBuffer> writer(bytes);
+      f.need("settings").Accept(writer);
+      c.settingsText.assign(bytes.GetString(), bytes.GetSize());
       if (c.settings.slices == 0) wrong("settings.extra.shards", "is 0: this protocol needs slices");
     });
     attempt([&] {
@@ -129,13 +139,22 @@
   return c;
 }
 
-Config load(const std::string& path, const Environment& environment) {
+Config load(const std::string& path, const Environment& environment, Newer newer) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw Wrong("NODE_CONFIG: cannot read '" + path + "'");
   std::ostringstream text;
   text << file.rdbuf();
   if (file.bad() || text.str().empty()) throw Wrong("NODE_CONFIG: '" + path + "' cannot be read or is empty");
-  return parse(text.str(), environment);
+  return parse(text.str(), environment, newer);
+}
+
+std::vector<std::string> needRestart(const Config& then, const Config& now) {
+  std::vector<std::string> fields;
+  if (then.name != now.name) fields.emplace_back("name");
+  if (then.listen.text() != now.listen.text()) fields.emplace_back("listen");
+  if (then.limits != now.limits) fields.emplace_back("limits");
+  if (then.settingsText != now.settingsText) fields.emplace_back("settings");
+  return fields;
 }
 
 }  // namespace peargrade::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -19,6 +19,9 @@
 };
 
 struct Limits {
+  bool operator!=(const Limits& o) const {
+    return cores != o.cores || memoryMb != o.memoryMb || sockets != o.sockets;
+  }
   double cores = 1;
   std::int64_t memoryMb = 192;
   int sockets = 1024;
@@ -30,6 +33,7 @@
   std::uint64_t seed = 0;
   Limits limits;
   Settings settings;
+  std::string settingsText;  // as the file has them
   discovery::Names names;
   ListNews known;  // as cached; empty when there is none
 };
@@ -38,10 +42,15 @@
 using Environment = std::function<std::optional<std::string>(const char*)>;
 std::optional<std::string> processEnvironment(const char* name);
 
-// The file's text and the environment together; a variable that is set goes before the same field of the
-// file.
-Config parse(const std::string& text, const Environment& environment);
+// At the start a variable that is set goes before the same field of the file. Where the file has been
+// replaced since, the variable is older: the file's `discovery` goes before it then.
+enum class Newer { Environment, File };
+// The file's text and the environment together.
+Config parse(const std::string& text, const Environment& environment, Newer newer = Newer::Environment);
 // Reads the file first. Throws Wrong.
-Config load(const std::string& path, const Environment& environment);
+Config load(const std::string& path, const Environment& environment, Newer newer = Newer::Environment);
+
+// The fields of `now` that a running program does not take over from `then`, by name.
+std::vector<std::string> needRestart(const Config& then, const Config& now);
 
 }  // namespace peargrade::config
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -11,6 +11,14 @@
 
 }  // namespace
 
+Discovery::Call::Call(Discovery& owner, Kind kind)
+    : owner(owner),
+      kind(kind),
+      to(owner.address_),
+      lines(owner.limits_.line),
+      version(owner.version_),
+      connecting(owner.base_, [this] { this->owner.onDialled(*this); }) {}
+
 Discovery::Discovery(event_base* base, const net::Address& address, const Names& names,
                      std::int64_t knownVersion, exchange::Exchange& exchange, log::Log& log, Limits limits)
     : base_(base),
@@ -20,137 +28,188 @@
       exchange_(exchange),
       log_(log),
       limits_(limits),
-      lines_(limits.line),
-      cleaner_(base, [this] { cleanUp(); }) {
-  exchange_.onListCall([this](Call call) { want(call); });
+      backoff_(limits.redialLeast, limits.redialMost, static_cast<std::uint64_t>(knownVersion)),
+      cleaner_(base, [this] { cleanUp(); }),
+      redial_(base, [this] {
+        if (calls_.size() == 1 && serving() != nullptr) begin(Kind::Watch);
+      }) {
+  exchange_.onListCall([this](Kind kind) { want(kind); });
 }
 
 Discovery::~Discovery() {
   exchange_.onListCall(nullptr);
-  if (connection_ && !over_) log_.ended("discovery", address_.text(), log::Reason::Stopping, "");
+  for (const Call& call : calls_) {
+    if (!call.over) log_.ended("discovery", call.to.text(), log::Reason::Stopping, "");
+  }
 }
 
-// One call at a time: what is wanted meanwhile waits. A watch that stands serves a watch that is asked for; a
-// fetch beside it ends it for the time of the fetch.
-void Discovery::want(Call call) {
-  if (call == Call::Unwatch) {
-    watchNext_ = false;
-    if (connection_ && current_ == Call::Watch && !over_)
-      finish(log::Reason::NotWanted, "watch ended", false);
-    return;
+Discovery::Call* Discovery::serving() {
+  for (Call& call : calls_) {
+    if (!call.over) return &call;
+  }
+  return nullptr;
+}
+
+// One call at a time but for a move: what is wanted meanwhile waits. A fetch beside a watch ends it for the
+// time of the fetch.
+void Discovery::want(Kind kind) {
+  const bool watching = serving() != nullptr && serving()->kind == Kind::Watch;
+  if (kind != Kind::Unwatch) (kind == Kind::Watch ? watchNext_ : fetchNext_) = true;
+  if (calls_.empty() && kind != Kind::Unwatch) return begin(fetchNext_ ? Kind::Fetch : Kind::Watch);
+  if (kind != Kind::Unwatch && !watching) return;
+  watchNext_ = kind != Kind::Unwatch;
+  for (Call& call : calls_) {
+    if (call.kind == Kind::Watch)
+      finish(call, log::Reason::NotWanted, kind == Kind::Unwatch ? "watch ended" : "asked anew", false);
+  }
+}
+
+// Make before break: the old address accepts nothing new, but what stands there tells on until the new one
+// does.
+void Discovery::moveTo(const net::Address& address) {
+  if (address.text() == address_.text()) return;
+  address_ = address;
+  backoff_.reset();
+  redial_.cancel();
+  Call* const now = serving();
+  for (Call& call : calls_) {
+    if (!call.over && &call != now) finish(call, log::Reason::Moved, "to " + address_.text(), false);
   }
-  (call == Call::Watch ? watchNext_ : fetchNext_) = true;
-  if (!connection_) return begin(fetchNext_ ? Call::Fetch : Call::Watch);
-  if (over_ || current_ != Call::Watch) return;
-  watchNext_ = true;
-  finish(log::Reason::NotWanted, "asked anew", false);
+  if (now != nullptr && now->kind == Kind::Watch) begin(Kind::Watch);
 }
 
-void Discovery::begin(Call call) {
-  (call == Call::Watch ? watchNext_ : fetchNext_) = false;
-  current_ = call;
-  over_ = false;
-  error_ = log::Reason::Refused;
-  lines_ = net::Lines(limits_.line);
-  connection_.reset(evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
-  if (!connection_) throw std::bad_alloc();
+void Discovery::begin(Kind kind) {
+  (kind == Kind::Watch ? watchNext_ : fetchNext_) = false;
+  calls_.emplace_back(*this, kind);
+  Call& call = calls_.back();
+  call.connection.reset(evhttp_connection_base_new(base_, nullptr, call.to.host.c_str(), call.to.port));
+  if (!call.connection) throw std::bad_alloc();
   const timeval silence{static_cast<time_t>(limits_.silence / 1000000),
                         static_cast<suseconds_t>(limits_.silence % 1000000)};
-  evhttp_connection_set_timeout_tv(connection_.get(), &silence);
-  evhttp_connection_set_max_headers_size(connection_.get(), 16 << 10);
-  evhttp_connection_set_max_body_size(connection_.get(), static_cast<ev_ssize_t>(limits_.body));
+  evhttp_connection_set_timeout_tv(call.connection.get(), &silence);
+  evhttp_connection_set_max_headers_size(call.connection.get(), 16 << 10);
+  evhttp_connection_set_max_body_size(call.connection.get(), static_cast<ev_ssize_t>(limits_.body));
   evhttp_request* request = evhttp_request_new(
-      [](evhttp_request* r, void* self) { static_cast<Discovery*>(self)->onDone(r); }, this);
+      [](evhttp_request* r, void* c) { static_cast<Call*>(c)->owner.onDone(*static_cast<Call*>(c), r); },
+      &call);
   if (request == nullptr) throw std::bad_alloc();
-  if (call == Call::Watch) {
-    evhttp_request_set_chunked_cb(
-        request, [](evhttp_request* r, void* self) { static_cast<Discovery*>(self)->onChunk(r); });
+  if (kind == Kind::Watch) {
+    evhttp_request_set_chunked_cb(request, [](evhttp_request* r, void* c) {
+      static_cast<Call*>(c)->owner.onChunk(*static_cast<Call*>(c), r);
+    });
   }
-  evhttp_request_set_error_cb(request, [](evhttp_request_error error, void* self) {
-    static_cast<Discovery*>(self)->error_ = error == EVREQ_HTTP_TIMEOUT         ? log::Reason::Silent
-                                            : error == EVREQ_HTTP_DATA_TOO_LONG ? log::Reason::TooLong
-                                            : error == EVREQ_HTTP_EOF           ? log::Reason::Reset
-                                                                                : log::Reason::BadAnswer;
+  evhttp_request_set_error_cb(request, [](evhttp_request_error error, void* c) {
+    static_cast<Call*>(c)->error = error == EVREQ_HTTP_TIMEOUT         ? log::Reason::Silent
+                                   : error == EVREQ_HTTP_DATA_TOO_LONG ? log::Reason::TooLong
+                                   : error == EVREQ_HTTP_EOF           ? log::Reason::Reset
+                                                                       : log::Reason::BadAnswer;
   });
-  evhttp_add_header(evhttp_request_get_output_headers(request), "Host", address_.text().c_str());
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Host", call.to.text().c_str());
   std::string path = kPath;
-  if (call == Call::Watch) path += "?follow=1" + (whole_ ? "" : "&since=" + std::to_string(version_));
-  if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
-    finish(log::Reason::Refused, "", true);  // libevent has freed the request
+  if (kind == Kind::Watch) path += "?follow=1" + (whole_ ? "" : "&since=" + std::to_string(version_));
+  call.connecting.in(limits_.connect);
+  if (evhttp_make_request(call.connection.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
+    finish(call, log::Reason::Refused, "", true);  // libevent has freed the request
+}
+
+// Guards against an address that takes nothing in and refuses nothing: the time of a silence is too long for
+// it.
+void Discovery::onDialled(Call& call) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  const evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(call.connection.get()));
+  if (call.over || (fd >= 0 && getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0)) return;
+  finish(call, log::Reason::ConnectTimeout, "", true);
 }
 
-void Discovery::onChunk(evhttp_request* request) {
+void Discovery::onChunk(Call& call, evhttp_request* request) {
   evbuffer* body = evhttp_request_get_input_buffer(request);
-  if (over_ || evhttp_request_get_response_code(request) != HTTP_OK) {
+  if (call.over || evhttp_request_get_response_code(request) != HTTP_OK) {
     evbuffer_drain(body, evbuffer_get_length(body));
     return;
   }
   char piece[4096];
   std::string line;
-  while (evbuffer_get_length(body) > 0 && !over_) {
+  while (evbuffer_get_length(body) > 0 && !call.over) {
     const int size = evbuffer_remove(body, piece, sizeof piece);
     if (size <= 0) break;
-    lines_.add(piece, static_cast<std::size_t>(size));
-    while (!over_ && lines_.next(line)) {
-      if (!line.empty()) take(line);
+    call.lines.add(piece, static_cast<std::size_t>(size));
+    while (!call.over && call.lines.next(line)) {
+      if (!line.empty()) take(call, line);
     }
-    if (!over_ && lines_.tooLong()) finish(log::Reason::TooLong, "line of the watch", true);
+    if (!call.over && call.lines.tooLong()) finish(call, log::Reason::TooLong, "line of the watch", true);
   }
 }
 
-void Discovery::take(const std::string& line) {
+void Discovery::take(Call& call, const std::string& line) {
   try {
     ListNews news = parseCatalog(line, names_, "discovery");
     // What is older than what was told cannot build on it: the whole list is asked for.
-    if (news.mode == ListMode::Delta && news.version < version_) {
+    if (news.mode == ListMode::Delta && news.version < call.version) {
       whole_ = true;
-      return finish(log::Reason::RevisionBack,
-                    std::to_string(news.version) + " after " + std::to_string(version_), true);
+      return finish(call, log::Reason::RevisionBack,
+                    std::to_string(news.version) + " after " + std::to_string(call.version), true);
     }
+    // A successor has told: it serves from now on.
+    for (Call& other : calls_) {
+      if (&other == &call) break;
+      if (!other.over) finish(other, log::Reason::Moved, "to " + call.to.text(), false);
+    }
+    backoff_.reset();
     whole_ = false;
+    call.version = news.version;
+    exchange_.listKnown();
+    // A successor may begin with what the one before it has told meanwhile.
+    if (news.mode == ListMode::Delta && news.version < version_) return;
     version_ = news.version;
     log_.debug("discovery") << "list " << news.version << ", " << news.entries.size() << " entries"
                             << (news.mode == ListMode::Full ? ", whole" : "");
     exchange_.post(std::move(news));
-    exchange_.listKnown();
   } catch (const wire::Malformed& e) {
     whole_ = true;
-    finish(log::Reason::BadMessage, e.what(), true);
+    finish(call, log::Reason::BadMessage, e.what(), true);
   }
 }
 
 // The answer is complete, or (no request, or no status) the connection has failed.
-void Discovery::onDone(evhttp_request* request) {
-  if (over_) return;
+void Discovery::onDone(Call& call, evhttp_request* request) {
+  if (call.over) return;
   const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
-  if (status == 0) return finish(error_, "no answer", true);
-  if (status != HTTP_OK) return finish(log::Reason::BadAnswer, "status " + std::to_string(status), true);
-  if (current_ == Call::Watch) {
-    onChunk(request);  // an answer that was not chunked comes whole
-    if (!over_) finish(log::Reason::PeerClosed, "watch ended", true);
+  if (status == 0) return finish(call, call.error, "no answer", true);
+  if (status != HTTP_OK)
+    return finish(call, log::Reason::BadAnswer, "status " + std::to_string(status), true);
+  if (call.kind == Kind::Watch) {
+    onChunk(call, request);  // an answer that was not chunked comes whole
+    if (!call.over) finish(call, log::Reason::PeerClosed, "watch ended", true);
     return;
   }
   evbuffer* body = evhttp_request_get_input_buffer(request);
   std::string bytes(evbuffer_get_length(body), '\0');
   evbuffer_copyout(body, bytes.data(), bytes.size());
-  take(bytes);
-  if (!over_) finish(log::Reason::NotWanted, "list received", false);
+  take(call, bytes);
+  if (!call.over) finish(call, log::Reason::NotWanted, "list received", false);
 }
 
-void Discovery::finish(log::Reason reason, const std::string& detail, bool failed) {
-  if (over_) return;
-  over_ = true;
-  log_.ended("discovery", address_.text(), reason, detail);
-  if (failed) exchange_.post(ListNews{ListMode::Failed, 0, {}});
+void Discovery::finish(Call& call, log::Reason reason, const std::string& detail, bool failed) {
+  if (call.over) return;
+  const bool successor = &call != serving();
+  call.over = true;
+  call.connecting.cancel();
+  log_.ended("discovery", call.to.text(), reason, detail);
   cleaner_.in(0);
+  if (!failed || (!successor && serving() != nullptr)) return;  // the successor goes on in its place
+  if (successor) return redial_.in(backoff_.next());
+  redial_.cancel();
+  exchange_.post(ListNews{ListMode::Failed, 0, {}});
 }
 
 void Discovery::cleanUp() {
-  connection_.reset();
+  calls_.remove_if([](const Call& call) { return call.over; });
+  if (!calls_.empty()) return;
   if (fetchNext_)
-    begin(Call::Fetch);
+    begin(Kind::Fetch);
   else if (watchNext_)
-    begin(Call::Watch);
+    begin(Kind::Watch);
 }
 
 }  // namespace peargrade::discovery
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -3,6 +3,7 @@
 
 #include <event2/http.h>
 
+#include <list>
 #include <memory>
 
 #include "discovery/catalog.h"
@@ -16,27 +17,50 @@
 class Discovery {
  public:
   struct Limits {
-    Micros silence = 5000000;     // an empty line comes every 2 s
+    // An empty line comes every 2 s, and what discovery has to tell counts as told after 6 s: silence must be
+    // noticed, and the watch be back, within that.
+    Micros silence = 3000000;
+    Micros connect = 500000;      // a dial; discovery is near
     std::size_t line = 4 << 20;   // one object of the list
     std::size_t body = 16 << 20;  // one answer; a watch that has told so much is opened anew
+    Micros redialLeast = 20000, redialMost = 250000;  // of a new address while the old one serves
   };
   Discovery(event_base* base, const net::Address& address, const Names& names, std::int64_t knownVersion,
             exchange::Exchange& exchange, log::Log& log, Limits limits);
   ~Discovery();
 
+  // Discovery is at another address from now on: a watch that stands serves until the new one has told.
+  void moveTo(const net::Address& address);
+
  private:
-  using Call = exchange::Exchange::ListCall;
+  using Kind = exchange::Exchange::ListCall;
   struct ConnectionFree {
     void operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
   };
+  struct Call {
+    Call(Discovery& owner, Kind kind);
+
+    Discovery& owner;
+    const Kind kind;
+    const net::Address to;
+    net::Lines lines;
+    std::int64_t version;                      // that its objects build on
+    bool over = false;                         // waits only to be cleaned up
+    log::Reason error = log::Reason::Refused;  // what libevent says of a call without an answer
+    std::unique_ptr<evhttp_connection, ConnectionFree> connection;
+    net::Limit connecting;
+  };
 
-  void want(Call call);
-  void begin(Call call);
-  void onChunk(evhttp_request* request);
-  void onDone(evhttp_request* request);
-  void take(const std::string& line);
-  // Ends the call in hand once libevent is out of its callbacks, with one Failed event if asked for.
-  void finish(log::Reason reason, const std::string& detail, bool failed);
+  void want(Kind kind);
+  void begin(Kind kind);
+  Call* serving();  // the first that is not over
+  void onDialled(Call& call);
+  void onChunk(Call& call, evhttp_request* request);
+  void onDone(Call& call, evhttp_request* request);
+  void take(Call& call, const std::string& line);
+  // Ends a call once libevent is out of its callbacks, with one Failed event if asked for and nothing else
+  // serves.
+  void finish(Call& call, log::Reason reason, const std::string& detail, bool failed);
   void cleanUp();
 
   event_base* base_;
@@ -47,14 +71,11 @@
   log::Log& log_;
   Limits limits_;
 
-  std::unique_ptr<evhttp_connection, ConnectionFree> connection_;  // one call at a time
-  Call current_ = Call::Fetch;
-  bool over_ = false;                           // the call in hand waits only to be cleaned up
-  log::Reason error_ = log::Reason::Refused;    // what libevent says of a call without an answer
+  std::list<Call> calls_;  // the one that serves, and after a move its successor behind it
   bool watchNext_ = false, fetchNext_ = false;  // wanted once the call in hand is over
   bool whole_ = false;                          // ask for the whole list: what is known here no longer fits
-  net::Lines lines_;
-  net::Timer cleaner_;
+  net::Backoff backoff_;
+  net::Timer cleaner_, redial_;
 };
 
 }  // namespace peargrade::discovery
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -60,6 +60,14 @@
       return "crowded";
     case Reason::Stranger:
       return "stranger";
+    case Reason::NotJoined:
+      return "not-joined";
+    case Reason::HalfMessage:
+      return "half-message";
+    case Reason::OnlyHeartbeats:
+      return "only-heartbeats";
+    case Reason::Moved:
+      return "moved";
     case Reason::RevisionBack:
       return "revision-back";
     case Reason::NotWanted:
--- a/src/log/reason.h
+++ b/src/log/reason.h
@@ -19,7 +19,11 @@
   TooLong,         // a line or body longer than allowed
   SlowReader,      // the peer does not read what it is sent
   Crowded,         // closed to make room for others
-  Stranger,        // said nothing of use for too long
+  Stranger,        // said nothing of use in time
+  NotJoined,       // reported before it joined
+  HalfMessage,     // a message that was begun and did not end in time
+  OnlyHeartbeats,  // kept its connection without joining
+  Moved,           // the configuration names another address
   RevisionBack,    // discovery went back behind what it had told
   NotWanted,       // the supervisor ended it: no further use
   Stopping,        // the supervisor ends
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,17 +55,22 @@
     std::cout << "peargrade " << peargrade::kVersion << '\n';
     return 0;
   }
+  const auto environment = [&](const char* variable) {
+    const auto it = told.find(variable);
+    return it == told.end() ? std::nullopt : std::optional<std::string>(it->second);
+  };
   try {
-    const Config config = peargrade::config::load(path, [&](const char* variable) {
-      const auto it = told.find(variable);
-      return it == told.end() ? std::nullopt : std::optional<std::string>(it->second);
-    });
+    if (serve->parsed()) peargrade::supervisor::holdReloads();
+    const Config config = peargrade::config::load(path, environment);
     if (check->parsed()) {
       std::cout << tableOf(config);
       return 0;
     }
     peargrade::log::Log log(STDERR_FILENO, *peargrade::log::levelNamed(level));
-    return peargrade::supervisor::serve(config, log);
+    const auto loadAgain = [&] {
+      return peargrade::config::load(path, environment, peargrade::config::Newer::File);
+    };
+    return peargrade::supervisor::serve(config, loadAgain, log);
   } catch (const peargrade::config::Wrong& e) {
     std::cerr << "peargrade: the configuration is wrong (" << path << "):\n" << e.what() << '\n';
     return 2;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -117,6 +117,18 @@
 
 void Stream::send(const std::string& bytes) { bufferevent_write(buffer_.get(), bytes.data(), bytes.size()); }
 
+void Stream::sendLast(const std::string& bytes) {
+  if (unsent() > 0) return;  // it would come amid what was sent before
+  const auto sent =
+      ::send(bufferevent_getfd(buffer_.get()), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  static_cast<void>(sent);  // whoever does not take it sees the close
+}
+
+bool Stream::bytesWait() const {
+  char byte;
+  return recv(bufferevent_getfd(buffer_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::size_t Stream::unsent() const { return evbuffer_get_length(bufferevent_get_output(buffer_.get())); }
 
 void Stream::onRead(bufferevent* buffer, void* self) {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -108,7 +108,10 @@
 
   bool up() const { return up_; }
   void send(const std::string& bytes);
+  // Before the owner destroys it: written as far as the socket takes it at once.
+  void sendLast(const std::string& bytes);
   std::size_t unsent() const;
+  bool bytesWait() const;  // at the socket, not read yet
 
  private:
   static void onRead(bufferevent*, void* self);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -15,11 +15,9 @@
       exchange_(exchange),
       log_(log),
       limits_(limits),
-      newsLines_(limits.line),
       newsBackoff_(limits.redialLeast, limits.redialMost, seed),
       newsRedial_(base, [this] { dialNews(); }),
       gather_(base, [this] { handOn(); }),
-      newsSilence_(base, [this] { endNews(log::Reason::Silent, "no sign of life"); }),
       answers_(limits.line),
       callBackoff_(limits.redialLeast, limits.redialMost, seed + 1),
       callRedial_(base, [this] { push(); }),
@@ -31,46 +29,68 @@
 
 Relay::~Relay() {
   exchange_.onOrders(nullptr);
-  if (news_) log_.ended("relay", address_.text() + " news", log::Reason::Stopping, "");
-  if (line_) log_.ended("relay", address_.text() + " calls", log::Reason::Stopping, "");
+  for (const auto* watch : {news_.get(), coming_.get()}) {
+    if (watch != nullptr) log_.ended("relay", watch->at.text() + " news", log::Reason::Stopping, "");
+  }
+  if (line_) log_.ended("relay", lineAt_.text() + " calls", log::Reason::Stopping, "");
 }
 
 // ---- News ----
 
-void Relay::dialNews() {
-  newsLines_ = net::Lines(limits_.line);
-  newsOpen_ = false;
-  news_ = std::make_unique<net::Stream>(
-      base_, address_, limits_.connect,
-      net::Stream::Handlers{[this] { news_->send("WATCH\r\n"); }, [this](evbuffer* input) { onNews(input); },
-                            [this](log::Reason r, const std::string& detail) { endNews(r, detail); }});
-  newsSilence_.in(limits_.newsSilence);
+Relay::Watch::Watch(Relay& owner, const net::Address& at)
+    : at(at),
+      lines(owner.limits_.line),
+      silence(owner.base_, [this, &owner] { owner.endNews(*this, log::Reason::Silent, "no sign of life"); }),
+      stream(std::make_unique<net::Stream>(
+          owner.base_, at, owner.limits_.connect,
+          net::Stream::Handlers{[this] { stream->send("WATCH\r\n"); },
+                                [this, &owner](evbuffer* input) { owner.onNews(*this, input); },
+                                [this, &owner](log::Reason reason, const std::string& detail) {
+                                  owner.endNews(*this, reason, detail);
+                                }})) {
+  silence.in(owner.limits_.newsSilence);
+}
+
+void Relay::dialNews() { coming_ = std::make_unique<Watch>(*this, address_); }
+
+void Relay::moveTo(const net::Address& address) {
+  if (address.text() == address_.text()) return;
+  address_ = address;
+  newsBackoff_.reset();
+  newsRedial_.cancel();
+  if (coming_) log_.ended("relay", coming_->at.text() + " news", log::Reason::Moved, "to " + address_.text());
+  dialNews();
 }
 
-void Relay::onNews(evbuffer* input) {
-  newsSilence_.in(limits_.newsSilence);
+void Relay::onNews(Watch& watch, evbuffer* input) {
+  watch.silence.in(limits_.newsSilence);
   std::string bytes(evbuffer_get_length(input), '\0');
   evbuffer_remove(input, bytes.data(), bytes.size());
-  newsLines_.add(bytes.data(), bytes.size());
+  watch.lines.add(bytes.data(), bytes.size());
   std::string line;
-  while (newsLines_.next(line)) {
-    if (!onNewsLine(line)) return;
+  while (watch.lines.next(line)) {
+    if (!(&watch == coming_.get() ? onNewsOpen(watch, line) : onNewsLine(watch, line))) return;
   }
-  if (newsLines_.tooLong()) endNews(log::Reason::TooLong, "line of news");
+  if (watch.lines.tooLong()) endNews(watch, log::Reason::TooLong, "line of news");
 }
 
-bool Relay::onNewsLine(const std::string& line) {
-  if (!newsOpen_) {
-    if (line.compare(0, 2, "OK") != 0) {
-      endNews(log::Reason::BadAnswer, "to WATCH: " + line.substr(0, 80));
-      return false;
-    }
-    newsOpen_ = true;
-    openedAt_ = net::steadyNow();
-    book_.begin(calls_.flight(), calls_.inDoubt());
-    exchange_.relayUp();
-    return true;
+// WATCH is answered: these news serve from now on, and what served at a former address ends.
+bool Relay::onNewsOpen(Watch& watch, const std::string& line) {
+  if (line.compare(0, 2, "OK") != 0) {
+    endNews(watch, log::Reason::BadAnswer, "to WATCH: " + line.substr(0, 80));
+    return false;
   }
+  if (news_) log_.ended("relay", news_->at.text() + " news", log::Reason::Moved, "to " + watch.at.text());
+  handOn();
+  news_ = std::move(coming_);
+  openedAt_ = net::steadyNow();
+  book_.begin(calls_.flight(), calls_.inDoubt());
+  exchange_.relayUp();
+  leaveLine();
+  return true;
+}
+
+bool Relay::onNewsLine(Watch& watch, const std::string& line) {
   try {
     const News news = parseNews(line, names_, slices_);
     if (log_.shows(log::Level::Debug)) log_.debug("relay") << line;
@@ -96,7 +116,7 @@
       handOn();
     return true;
   } catch (const wire::Malformed& e) {
-    endNews(log::Reason::BadMessage, e.what());
+    endNews(watch, log::Reason::BadMessage, e.what());
     return false;
   }
 }
@@ -107,13 +127,14 @@
   held_.clear();
 }
 
-void Relay::endNews(log::Reason reason, const std::string& detail) {
-  if (!news_) return;
+void Relay::endNews(Watch& watch, log::Reason reason, const std::string& detail) {
   handOn();
-  news_.reset();
-  newsSilence_.cancel();
-  log_.ended("relay", address_.text() + " news", reason, detail);
-  newsRedial_.in(newsBackoff_.next());
+  log_.ended("relay", watch.at.text() + " news", reason, detail);
+  // It may be the limit of this watch that calls: its memory goes with the next one that ends.
+  gone_ = std::move(&watch == coming_.get() ? coming_ : news_);
+  gone_->silence.cancel();
+  gone_->stream.reset();
+  if (!coming_) newsRedial_.in(newsBackoff_.next());
 }
 
 // ---- Calls ----
@@ -132,6 +153,7 @@
   if (!calls_.wants() || callRedial_.set()) return;
   if (!line_) {
     answers_ = net::Lines(limits_.line);
+    lineAt_ = address_;
     line_ = std::make_unique<net::Stream>(
         base_, address_, limits_.connect,
         net::Stream::Handlers{[this] { push(); }, [this](evbuffer* input) { onAnswer(input); },
@@ -146,6 +168,15 @@
   answerLimit_.in(limits_.answer);
 }
 
+// After a move: the connection at the former address is left once its call, if there is one, has been
+// answered.
+void Relay::leaveLine() {
+  if (!line_ || calls_.inCall() || !news_ || lineAt_.text() == news_->at.text()) return;
+  line_.reset();
+  log_.ended("relay", lineAt_.text() + " calls", log::Reason::Moved, "to " + news_->at.text());
+  push();
+}
+
 void Relay::onAnswer(evbuffer* input) {
   std::string bytes(evbuffer_get_length(input), '\0');
   evbuffer_remove(input, bytes.data(), bytes.size());
@@ -172,6 +203,7 @@
     }
   }
   if (answers_.tooLong()) return endCalls(log::Reason::TooLong, "answer");
+  leaveLine();
   push();
 }
 
@@ -183,7 +215,7 @@
   if (reason == log::Reason::PeerClosed && !calls_.inCall()) reason = log::Reason::IdleClosed;
   const bool doubt = calls_.inCall();
   calls_.broken();
-  log_.ended("relay", address_.text() + " calls", reason, doubt ? detail + " call in doubt" : detail);
+  log_.ended("relay", lineAt_.text() + " calls", reason, doubt ? detail + " call in doubt" : detail);
   if (!calls_.wants()) return;
   if (wasUp && reason == log::Reason::IdleClosed) return push();
   callRedial_.in(callBackoff_.next());
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -32,16 +32,29 @@
   ~Relay();
   const Calls::Counts& counts() const { return calls_.counts(); }
 
+  // The relay is at another address from now on: the news and the connection for calls that stand serve until
+  // the news have come up there.
+  void moveTo(const net::Address& address);
+
  private:
+  struct Watch {
+    Watch(Relay& owner, const net::Address& at);
+    const net::Address at;
+    net::Lines lines;
+    net::Limit silence;
+    std::unique_ptr<net::Stream> stream;
+  };
   void dialNews();
-  void onNews(evbuffer* input);
-  bool onNewsLine(const std::string& line);
-  void endNews(log::Reason reason, const std::string& detail);
+  void onNews(Watch& watch, evbuffer* input);
+  bool onNewsLine(Watch& watch, const std::string& line);  // false: the watch is gone
+  bool onNewsOpen(Watch& watch, const std::string& line);
+  void endNews(Watch& watch, log::Reason reason, const std::string& detail);
   void handOn();
 
   void order(const exchange::Exchange::Orders& actions);
   void push();
   void onAnswer(evbuffer* input);
+  void leaveLine();
   void endCalls(log::Reason reason, const std::string& detail);
 
   event_base* base_;
@@ -52,18 +65,16 @@
   log::Log& log_;
   Limits limits_;
 
-  std::unique_ptr<net::Stream> news_;
-  net::Lines newsLines_;
-  bool newsOpen_ = false;  // WATCH has been answered
+  std::unique_ptr<Watch> news_, coming_, gone_;  // WATCH has been answered; not yet; over
   Micros openedAt_ = 0;
   NewsBook book_;
   std::vector<Event> held_;  // not yet handed on
   Micros heldSince_ = 0;
   net::Backoff newsBackoff_;
   net::Timer newsRedial_, gather_;
-  net::Limit newsSilence_;
 
   std::unique_ptr<net::Stream> line_;  // for the calls
+  net::Address lineAt_;
   net::Lines answers_;
   Calls calls_;
   net::Backoff callBackoff_;
--- a/src/supervisor/serve.cpp
+++ b/src/supervisor/serve.cpp
@@ -12,6 +12,7 @@
 #include "net/net.h"
 #include "relay/relay.h"
 #include "supervisor/clock.h"
+#include "supervisor/reload.h"
 #include "supervisor/supervisor.h"
 
 namespace peargrade::supervisor {
@@ -27,9 +28,18 @@
   return static_cast<int>(std::min<rlim_t>(own.rlim_cur, static_cast<rlim_t>(config.limits.sockets)));
 }
 
+void maskReloads(int how) {
+  sigset_t hangUp;
+  sigemptyset(&hangUp);
+  sigaddset(&hangUp, SIGHUP);
+  sigprocmask(how, &hangUp, nullptr);
+}
+
 }  // namespace
 
-int serve(const config::Config& config, log::Log& log) {
+void holdReloads() { maskReloads(SIG_BLOCK); }
+
+int serve(const config::Config& config, const std::function<config::Config()>& loadAgain, log::Log& log) {
   std::signal(SIGPIPE, SIG_IGN);
   const Clock clock;
   const net::EventBase base = net::makeBase();
@@ -39,6 +49,12 @@
   const net::EventHandle interrupt(evsignal_new(base.get(), SIGINT, stop, &stopping));
   event_add(term.get(), nullptr);
   event_add(interrupt.get(), nullptr);
+  std::function<void()> reload;
+  const auto hangUp = [](evutil_socket_t, short, void* ask) {
+    (*static_cast<std::function<void()>*>(ask))();
+  };
+  const net::EventHandle hup(evsignal_new(base.get(), SIGHUP, hangUp, &reload));
+  event_add(hup.get(), nullptr);
 
   exchange::Exchange exchange;
   Supervisor supervisor(config.seed, config.settings, exchange, log);
@@ -53,6 +69,16 @@
   log.info("supervisor") << config.name << " serves at " << config.listen.text() << ", "
                          << config.known.entries.size() << " servers known";
 
+  Reload newConfig(
+      base.get(), config, loadAgain,
+      [&](const config::Config& next) {
+        discovery.moveTo(next.discovery);
+        relay.moveTo(next.relay);
+      },
+      log);
+  reload = [&newConfig] { newConfig.ask(); };
+  maskReloads(SIG_UNBLOCK);
+
   net::Timer readyAtLast(base.get(), [&] { exchange.waitedEnough(); });
   readyAtLast.in(kReadyAtLast);
   net::Timer wake(base.get(), [] {});  // ends the wait of the loop; the turn looks for what is due
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -55,6 +55,34 @@
   EXPECT_EQ(c.discovery.text(), "127.2.0.1:8500") << "an empty variable is not set";
 }
 
+// Guards against a variable of the start that pins an address for good: a file replaced since is newer.
+TEST(Config, OnAReloadTheFilesDiscoveryGoesBeforeTheEnvironment) {
+  const Environment environment = [](const char* name) -> std::optional<std::string> {
+    const std::string n = name;
+    if (n == "NODE_DISCOVERY") return "127.2.0.9:1";
+    if (n == "NODE_LISTEN") return "127.0.0.9:1";
+    return std::nullopt;
+  };
+  EXPECT_EQ(parse(kGood, environment).discovery.text(), "127.2.0.9:1");
+  const Config c = parse(kGood, environment, Newer::File);
+  EXPECT_EQ(c.discovery.text(), "127.2.0.1:8500");
+  EXPECT_EQ(c.listen.text(), "127.0.0.9:1") << "the address it listens on is still the environment's";
+  const Config bare = parse(with(R"("discovery":"127.2.0.1:8500",)", ""), environment, Newer::File);
+  EXPECT_EQ(bare.discovery.text(), "127.2.0.9:1") << "where the file has none";
+}
+
+TEST(Config, WhatOnlyARestartTakesOverIsNamed) {
+  const Config now = read(kGood);
+  EXPECT_TRUE(needRestart(now, read(with("127.2.0.2:6400", "127.2.0.3:6400"))).empty());
+  EXPECT_EQ(needRestart(now, read(with("\"n3\"", "\"n4\""))), std::vector<std::string>{"name"});
+  EXPECT_EQ(needRestart(now, read(with("127.0.0.4:3000", "127.0.0.5:3000"))),
+            std::vector<std::string>{"listen"});
+  EXPECT_EQ(needRestart(now, read(with("\"memory_mb\":192", "\"memory_mb\":64"))),
+            std::vector<std::string>{"limits"});
+  EXPECT_EQ(needRestart(now, read(with("\"shards\":12", "\"shards\":13"))),
+            std::vector<std::string>{"settings"});
+}
+
 TEST(Config, WhatIsWrongIsNamedByItsField) {
   const std::pair<std::string, const char*> cases[] = {
       {"", "not JSON"},
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -252,5 +252,103 @@
   EXPECT_TRUE(log.has("code=not-wanted"));
 }
 
+// A new configuration names another address: the old one accepts nothing new and closes soon after.
+TEST_F(WithDiscovery, AMoveOpensTheNewWatchWhileTheOldServes) {
+  there.set("s1", "a", "SERVING");
+  standins::Discovery next{loop.base.get()};
+  next.set("s1", "a", "SERVING");
+  start(1);
+  ask(WatchList{true});
+  ASSERT_TRUE(until([&] { return lists().size() == 1; }));
+  next.mute = true;
+  discovery->moveTo(next.address());
+  ASSERT_TRUE(until([&] { return next.requests.size() == 1; }));
+  EXPECT_EQ(next.requests[0], "/catalog/members?follow=1&since=1");
+  there.set("s2", "a", "SERVING");
+  ASSERT_TRUE(until([&] { return lists().size() == 2; })) << "the old watch is still heard";
+  next.mute = false;
+  next.set("s2", "a", "SERVING");
+  there.endWatches();  // the old address closes before the new one has told
+  discovery->moveTo(there.address());
+  discovery->moveTo(next.address());
+  ASSERT_TRUE(until([&] { return next.watching() == 1 && there.watching() == 0; }));
+  next.set("s1", "a", "DRAINING");
+  ASSERT_TRUE(until([&] { return !lists().empty() && lists().back().version == 3; }));
+  for (const ListNews& news : lists())
+    EXPECT_NE(news.mode, ListMode::Full) << "nothing had to be asked for whole";
+  EXPECT_EQ(lists().back().entries.at(0).state, ServerState::Draining);
+  EXPECT_TRUE(log.has("code=moved"));
+}
+
+// Guards against a successor that begins behind what the old watch has told: it is neither an older list nor
+// told twice.
+TEST_F(WithDiscovery, ASuccessorThatBeginsBehindChangesNothing) {
+  there.set("s1", "a", "SERVING");
+  standins::Discovery next{loop.base.get()};
+  next.set("s1", "a", "SERVING");
+  start();
+  ask(WatchList{true});
+  ASSERT_TRUE(until([&] { return lists().size() == 1; }));
+  there.set("s2", "a", "SERVING");
+  there.set("s2", "a", "DRAINING");
+  const auto told = [&] { return lists().back().version == 3; };
+  ASSERT_TRUE(until(told));
+  discovery->moveTo(next.address());  // asks since 3, and is answered with revision 1
+  ASSERT_TRUE(until([&] { return log.has("code=revision-back"); })) << "behind what it was asked for";
+  EXPECT_EQ(there.watching(), 1u) << "the old watch serves on";
+  next.set("s2", "a", "SERVING");
+  next.set("s2", "a", "DRAINING");
+  ASSERT_TRUE(until([&] { return next.watching() == 1 && there.watching() == 0; }));
+  for (const ListNews& news : lists()) EXPECT_NE(news.mode, ListMode::Failed);
+}
+
+TEST_F(WithDiscovery, ANewAddressThatRefusesIsDialledUntilItServes) {
+  there.set("s1", "a", "SERVING");
+  start();
+  ask(WatchList{true});
+  ASSERT_TRUE(until([&] { return lists().size() == 1; }));
+  auto next = std::make_unique<standins::Discovery>(loop.base.get());
+  const net::Address at = next->address();
+  next.reset();
+  discovery->moveTo(at);
+  ASSERT_TRUE(until([&] { return log.count("code=refused") >= 2; }));
+  EXPECT_EQ(there.watching(), 1u);
+  next = std::make_unique<standins::Discovery>(loop.base.get(), at.host, at.port);
+  next->set("s1", "a", "SERVING");
+  ASSERT_TRUE(until([&] { return next->watching() == 1 && there.watching() == 0; }));
+    for (const ListNews& news : lists()) EXPECT_NE(news.mode, ListMode::Failed);
+  next->endWatches();
+  ASSERT_TRUE(until([&] { return lists().back().mode == ListMode::Failed; }));
+  ask(WatchList{true});
+  ASSERT_TRUE(until([&] { return next->watching() == 1; })) << "what is asked for goes to the new address";
+}
+
+// Guards against a dial that never comes up: it may not take as long as a watch may be silent.
+TEST_F(WithDiscovery, AnAddressThatTakesNothingInIsGivenUpSoon) {
+  const int full = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  ASSERT_EQ(bind(full, reinterpret_cast<sockaddr*>(&at), size), 0);
+  ASSERT_EQ(listen(full, 0), 0);
+  getsockname(full, reinterpret_cast<sockaddr*>(&at), &size);
+  std::vector<int> fill;  // until its queue is full, dials hang
+  for (int k = 0; k < 4; ++k) {
+    fill.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    connect(fill.back(), reinterpret_cast<sockaddr*>(&at), size);
+  }
+  Discovery::Limits limits;
+  limits.silence = 60000000;
+  limits.connect = 50000;
+  discovery = std::make_unique<Discovery>(loop.base.get(), net::Address{"127.0.0.1", ntohs(at.sin_port)},
+                                          names, 0, exchange, *log.log, limits);
+  ask(WatchList{true});
+  ASSERT_TRUE(until([&] { return log.has("code=connect-timeout"); }));
+  EXPECT_EQ(lists().back().mode, ListMode::Failed);
+  fill.push_back(full);
+  for (int fd : fill) close(fd);
+}
+
 }  // namespace
 }  // namespace peargrade::discovery
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -560,6 +560,82 @@
   EXPECT_TRUE(log.has("left out: put,7,stranger,1"));
 }
 
+// A new configuration names another address: the old one accepts nothing new and closes soon after.
+TEST_F(WithRelay, AMoveBringsUpTheNewNewsWhileTheOldServe) {
+  there.proxies = {{1, {"a", 1, false}}, {2, {"b", 1, false}}};
+  there.slices[5] = {{"s", "1"}};
+  start();
+  ASSERT_TRUE(until([&] { return seen.events.size() == 4; }));
+  standins::Relay next{loop.base.get()};
+  next.refuse(true);
+  relay->moveTo(next.address());
+  there.attach(3, {"a", 1, false});
+  ASSERT_TRUE(until([&] { return seen.all<ProxyJoined>().size() == 3; })) << "the old news are still heard";
+  exchange.carry({SetLine{5, "t", 1}, Mark{1}});
+  ASSERT_TRUE(until([&] { return log.has("ended code=refused"); }));
+  next.proxies = there.proxies;
+  next.slices = there.slices;
+  next.refuse(false);
+  ASSERT_TRUE(until([&] { return next.watches == 1 && there.open() == 0; }));
+  next.attach(4, {"a", 1, true});
+  next.life();
+  ASSERT_TRUE(until([&] { return seen.all<ProxyJoined>().size() == 4; }));
+  exchange.carry({SetLine{5, "u", 1}, Mark{2}});
+  ASSERT_TRUE(until([&] { return !next.orders.empty() && next.orders.back() == "fence,2,0"; }));
+  EXPECT_EQ(next.slices[5].size(), 3u) << "orders that waited go to the new address, none is lost";
+  EXPECT_TRUE(seen.all<ProxyLeft>().empty()) << "who is there has not left";
+  EXPECT_EQ(seen.all<SliceCharge>().size(), 1u) << "no slice is given twice";
+  EXPECT_TRUE(log.has("news ended code=moved"));
+}
+
+TEST_F(WithRelay, ACallUnderWayIsAnsweredOnTheOldLineAndTheRestGoesToTheNew) {
+  start();
+  ASSERT_TRUE(untilWatched());
+  there.slices[5] = {};
+  standins::Relay next{loop.base.get()};
+  there.onOrder = [&](const std::string& order) {
+    if (order != "fence,1,0") return;
+    relay->moveTo(next.address());
+    exchange.carry({SetLine{5, "u", 1}, Mark{2}});
+  };
+  exchange.carry({SetLine{5, "t", 1}, Mark{1}});
+  ASSERT_TRUE(until([&] { return next.watches == 1 && there.orders.size() + next.orders.size() == 4; }));
+  EXPECT_EQ(there.orders.at(1), "fence,1,0");
+  EXPECT_EQ(relay->counts().repeated, 0u);
+  exchange.carry({SetLine{5, "v", 1}, Mark{3}});
+  ASSERT_TRUE(until([&] { return !next.orders.empty() && next.orders.back() == "fence,3,0"; }));
+  ASSERT_TRUE(until([&] { return there.open() == 0; })) << "nothing is left at the old address";
+}
+
+TEST_F(WithRelay, ACallThatTheOldAddressNeverAnswersIsRepeatedAtTheNewBeforeAnythingNewer) {
+  Relay::Limits limits;
+  limits.answer = 50000;
+  start(limits);
+  ASSERT_TRUE(untilWatched());
+  there.faults = {Fault::Silent};
+  exchange.carry({SetLine{7, "s", 1}, Mark{1}});
+  ASSERT_TRUE(until([&] { return there.calls.size() == 1; }));
+  standins::Relay next{loop.base.get()};
+  relay->moveTo(next.address());
+  exchange.carry({SetLine{8, "s", 1}, Mark{2}});
+  there.refuse(true);
+  ASSERT_TRUE(until([&] { return next.orders.size() == 4; }));
+  EXPECT_EQ(next.calls, (std::vector<std::string>{"put,7,s,1;fence,1,0", "put,8,s,1;fence,2,0"}));
+}
+
+TEST_F(WithRelay, OfSeveralMovesTheNewestHolds) {
+  start();
+  ASSERT_TRUE(untilWatched());
+  standins::Relay one{loop.base.get()}, two{loop.base.get()};
+  relay->moveTo(one.address());
+  relay->moveTo(two.address());
+  relay->moveTo(two.address());
+  ASSERT_TRUE(until([&] { return two.watches == 1 && there.open() == 0 && one.open() == 0; }));
+  relay->moveTo(there.address());
+  ASSERT_TRUE(until([&] { return there.watches == 2 && two.open() == 0; }));
+  EXPECT_EQ(two.watches, 1);
+}
+
 TEST_F(WithRelay, AtMostTwoConnectionsAreHeld) {
   start();
   ASSERT_TRUE(untilWatched());
--- a/tests/serve_test.cpp
+++ b/tests/serve_test.cpp
@@ -274,6 +274,69 @@
   close(unread[1]);
 }
 
+// A new configuration under load: both peers move, several times, with wrong and unchanged files between; no
+// order is lost and no client notices.
+TEST_F(Life, SighupMovesBothPeersAndKeepsClientsAndState) {
+  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
+  relay.proxies[0] = {"east", 5, false};
+  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  const std::string first = config();
+  const WrittenConfig file(first);
+  // The variable names the first address: it is older than the file that comes later.
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path},
+                  {"NODE_DISCOVERY=" + discovery.address().text()});
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  ASSERT_TRUE(loop.until([&] { return discovery.watching() == 1 && relay.watches == 1; }));
+  standins::Collector collector(loop.base.get(), listen);
+  collector.send(R"({"type":"telemetry","az":"east"})");
+
+  const auto write = [&](const std::string& text) { std::ofstream(file.path) << text; };
+  const auto said = [&](const char* part) { return program.output().find(part) != std::string::npos; };
+  write(first.substr(0, first.size() / 2));
+  program.signal(SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return said("new configuration left out, the old one holds"); }));
+  write(replaced(first, "\"address\"", "\"adress\""));
+  program.signal(SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return said("relay: 'address' is missing"); })) << program.output();
+  std::remove(file.path.c_str());
+  program.signal(SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return said("cannot read"); })) << program.output();
+  EXPECT_EQ(discovery.watching(), 1u);
+
+  standins::Relay relay2{loop.base.get()};
+  standins::Discovery discovery2{loop.base.get()};
+  for (const char* uid : {"s1", "s2", "s3"}) discovery2.set(uid, "east", "SERVING");
+  relay2.proxies = relay.proxies;
+  relay2.slices = relay.slices;
+  std::string moved = replaced(first, discovery.address().text(), discovery2.address().text());
+  moved = replaced(moved, relay.address().text(), relay2.address().text());
+  write(moved);
+  program.signal(SIGHUP);
+  program.signal(SIGHUP);
+  relay.refuse(true);
+  ASSERT_TRUE(loop.until([&] { return discovery2.watching() == 1 && relay2.watches == 1; }))
+      << program.output();
+  ASSERT_TRUE(loop.until([&] { return discovery.watching() == 0 && relay.open() == 0; }));
+  discovery2.set("s1", "east", "DRAINING");
+  ASSERT_TRUE(loop.until([&] {
+    for (const auto& [host, weight] : relay2.slices[0]) {
+      if (host != "s1" && std::atof(weight.c_str()) >= 1) return true;
+    }
+    return false;
+  })) << program.output();
+  program.signal(SIGHUP);  // unchanged: nothing moves
+  const std::size_t answers = prober->received.size();
+  prober->send(R"({"type":"hb"})");
+  ASSERT_TRUE(loop.until([&] { return prober->received.size() > answers; }))
+      << "clients keep their connections";
+  EXPECT_FALSE(collector.ended());
+  EXPECT_EQ(relay2.watches, 1);
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0) << program.output();
+  EXPECT_FALSE(said(": gone")) << "nothing is taken for gone that is there";
+}
+
 TEST_F(Life, AnAddressInUseEndsItWithAMessage) {
   const WrittenConfig file(
       replaced(config(), listen.text(), relay.address().host + ":" + std::to_string(relay.address().port)));
