Spoilt answers of the relay cost no order; bounds of what is held follow the memory

Seen by reading: 'invalid' dropped a whole call, a count below what was sent dropped an order, an unusable answer to a mark ended the news (relay.cpp, calls.cpp). Now a false answer leaves the call in doubt, an order is left out when the relay halts at it twice, and a spoilt 'done' costs itself. Bounds of unfinished messages, of discovery's answers and of orders that wait are shares of memory_mb (16 MiB of list and 24 MiB of messages would have broken 32 MB).

--- a/src/relay/calls.cpp
+++ b/src/relay/calls.cpp
@@ -11,7 +11,7 @@
     waiting_.erase(old->second);
     byKey_.erase(old);
   }
-  if (waiting_.size() >= kOrdersMost) {
+  if (waiting_.size() >= most_) {
     ++counts_.lost;
     byKey_.erase(waiting_.front().key);
     waiting_.pop_front();
@@ -77,21 +77,28 @@
     if (end.ec != std::errc() || end.ptr != line.data() + line.size() || count > flight_.size())
       return Outcome::Unreadable;
     ++counts_.answered;
+    invalid_ = 0;
     done(count);
     if (count == flight_.size()) {
       flight_.clear();
       state_ = State::Idle;
       return Outcome::Taken;
     }
+    // Guards against a spoilt count that would lose an order: it is left out when the relay halts there
+    // twice.
+    const bool twice = flight_[count].text == skipped_;
     skipped_ = flight_[count].text;
-    putBack(count + 1);
-    return Outcome::Skipped;
+    putBack(twice ? count + 1 : count);
+    return twice ? Outcome::Skipped : Outcome::Again;
   }
   if (line.size() < 200 && line.find("throttled") != std::string::npos) {
     putBack(0);
     return Outcome::Throttled;
   }
-  if (line.size() < 200 && line.find("invalid") != std::string::npos) {
+  // Guards against a false `invalid`: the call is in doubt like any that was not answered. Only one that gets
+  // nothing else is dropped, as it would be in the way of all that is newer.
+  if (line.size() < 200 && line.find("invalid") != std::string::npos && ++invalid_ >= kInvalidMost) {
+    invalid_ = 0;
     skipped_ = flight_.empty() ? "" : flight_.front().text;
     flight_.clear();
     state_ = State::Idle;
@@ -118,6 +125,7 @@
 void Calls::carriedOut() {
   if (state_ != State::InDoubt) return;
   ++counts_.settled;
+  invalid_ = 0;
   done(flight_.size());
   flight_.clear();
   state_ = State::Idle;
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -15,8 +15,11 @@
 
 class Calls {
  public:
-  static constexpr std::size_t kBytesMost = 60000;    // of orders in a call, by the relay's page
-  static constexpr std::size_t kOrdersMost = 200000;  // waiting: beyond it the oldest are lost
+  static constexpr std::size_t kBytesMost = 60000;  // of orders in a call, by the relay's page
+  static constexpr int kInvalidMost = 5;            // answers `invalid` to one call until it is believed
+
+  // `most`: orders that may wait; beyond it the oldest are lost.
+  explicit Calls(std::size_t most) : most_(most) {}
 
   // The orders of one reply. What waits from earlier replies goes out together with them, in one call where
   // the bytes allow: a table is then never seen between the two. An older order of the same key gives way to
@@ -31,8 +34,10 @@
   // Starts a call and returns its line. One in doubt is repeated as it was, before anything newer.
   std::string begin();
 
-  enum class Outcome { Taken, Skipped, Throttled, Invalid, Unreadable };
-  // The relay's answer to the call.
+  // Again: halted at an order, which leads the next call; Skipped: halted there once more, so it is left out.
+  // Unreadable: the caller ends the connection, and the call is in doubt.
+  enum class Outcome { Taken, Again, Skipped, Throttled, Invalid, Unreadable };
+  // The relay's answer to the call. Answers come spoilt: what one alone says costs no order.
   Outcome answered(const std::string& line);
   // The connection broke, or no answer came: the call was carried out as a whole or not at all.
   void broken();
@@ -60,7 +65,9 @@
   void append(Order order);
   void done(std::size_t count);
 
+  const std::size_t most_;
   State state_ = State::Idle;
+  int invalid_ = 0;  // answers in a row, to the call in hand
   std::list<Order> waiting_;
   std::unordered_map<std::string, std::list<Order>::iterator> byKey_;
   std::vector<Order> flight_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -19,6 +19,7 @@
       newsRedial_(base, [this] { dialNews(); }),
       gather_(base, [this] { handOn(); }),
       answers_(limits.line),
+      calls_(limits.orders),
       callBackoff_(limits.redialLeast, limits.redialMost, seed + 1),
       callRedial_(base, [this] { push(); }),
       answerLimit_(base, [this] { endCalls(log::Reason::NoAnswer, "call not answered"); }) {
@@ -116,6 +117,14 @@
       handOn();
     return true;
   } catch (const wire::Malformed& e) {
+    // A spoilt answer to a mark costs that answer alone: the next one covers it. Of other news none may be
+    // missed: a new stream repeats what stands.
+    if (line.compare(0, 6, "* done") == 0) {
+      ++unusable_;
+      if ((unusable_ & (unusable_ - 1)) == 0)  // said at 1, 2, 4, 8 ...
+        log_.warn("relay") << unusable_ << " answers to marks left out; the last: " << e.what();
+      return true;
+    }
     endNews(watch, log::Reason::BadMessage, e.what());
     return false;
   }
@@ -189,6 +198,9 @@
       case Calls::Outcome::Taken:
         callBackoff_.reset();
         break;
+      case Calls::Outcome::Again:
+        log_.warn("relay") << "order not taken, tried once more: " << calls_.skipped();
+        break;
       case Calls::Outcome::Skipped:
         log_.warn("relay") << "order not taken, left out: " << calls_.skipped();
         break;
@@ -196,7 +208,8 @@
         callRedial_.in(limits_.throttled);
         break;
       case Calls::Outcome::Invalid:
-        log_.error("relay") << "call answered 'invalid', dropped; it began: " << calls_.skipped();
+        log_.error("relay") << "call answered 'invalid' again and again, dropped; it began: "
+                            << calls_.skipped();
         break;
       case Calls::Outcome::Unreadable:
         return endCalls(log::Reason::BadAnswer, line.substr(0, 80));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -19,13 +19,14 @@
   struct Limits {
     Micros connect = 250000;       // a dial; the relay is near
     Micros newsSilence = 2500000;  // a sign of life comes every 1 s
-    Micros answer = 250000;        // an answer comes within 50 ms or never
+    Micros answer = 150000;        // an answer comes within 50 ms or never
     Micros throttled = 100000;     // wait before a throttled call is tried again
     Micros gather = 20000;         // a slice and its lines are handed on together once the news pause so long
     Micros gatherMost = 200000;    // but not later than this
     Micros redialLeast = 20000, redialMost = 250000;
     Micros settleAfter = 300000;  // what stands has been repeated at the first sign of life after this
     std::size_t line = 4096;      // longest line of the relay
+    std::size_t orders = 50000;   // that wait; beyond it the oldest are lost
   };
   Relay(event_base* base, const net::Address& address, const Names& names, int slices, std::uint64_t seed,
         exchange::Exchange& exchange, log::Log& log, Limits limits);
@@ -70,6 +71,7 @@
   NewsBook book_;
   std::vector<Event> held_;  // not yet handed on
   Micros heldSince_ = 0;
+  std::uint64_t unusable_ = 0;  // answers to marks that were left out
   net::Backoff newsBackoff_;
   net::Timer newsRedial_, gather_;
 
--- a/src/supervisor/serve.cpp
+++ b/src/supervisor/serve.cpp
@@ -20,6 +20,21 @@
 
 constexpr Micros kReadyAtLast = 1500000;  // heartbeats are answered then whatever does not answer
 constexpr int kOwnDescriptors = 48;       // relay, discovery, loop, log and room for those just ended
+constexpr std::size_t kOrderBytes = 512;  // that an order takes while it waits, at most
+
+// What may be held for peers follows the memory that the configuration grants: together about a third of it.
+struct Shares {
+  std::size_t messages;  // unfinished messages of clients
+  std::size_t list;      // one answer of discovery, which is parsed into as much again
+  std::size_t orders;    // that wait for the relay
+
+  explicit Shares(std::int64_t memoryMb) {
+    const std::size_t all = static_cast<std::size_t>(memoryMb) << 20;
+    messages = all / 16;
+    list = all / 16;
+    orders = all / 8 / kOrderBytes;
+  }
+};
 
 // As many as the configuration grants, but no more than the system lets this process have.
 int descriptors(const config::Config& config) {
@@ -60,12 +75,19 @@
   Supervisor supervisor(config.seed, config.settings, exchange, log);
   clients::Clients::Limits clientLimits;
   clientLimits.connections = static_cast<std::size_t>(std::max(16, descriptors(config) - kOwnDescriptors));
+  const Shares shares(config.limits.memoryMb);
+  clientLimits.held = shares.messages;
+  discovery::Discovery::Limits listLimits;
+  listLimits.body = shares.list;
+  listLimits.line = std::min(listLimits.line, shares.list);
+  relay::Relay::Limits relayLimits;
+  relayLimits.orders = shares.orders;
   clients::Clients clients(base.get(), config.listen, config.names, config.settings.slices, exchange, log,
                            clientLimits);
   discovery::Discovery discovery(base.get(), config.discovery, config.names, config.known.version, exchange,
-                                 log, {});
+                                 log, listLimits);
   relay::Relay relay(base.get(), config.relay, config.names, config.settings.slices, config.seed, exchange,
-                     log, {});
+                     log, relayLimits);
   log.info("supervisor") << config.name << " serves at " << config.listen.text() << ", "
                          << config.known.entries.size() << " servers known";
 
