Records of replaced servers and confirmed marks shrink; usage reports may count late failures

Now a server that left a minute ago and that no table names is dropped, a mark goes once every proxy has confirmed it or a later one. Only upstream_stats must hold bad <= n.

--- a/src/clients/messages.cpp
+++ b/src/clients/messages.cpp
@@ -20,14 +20,12 @@
   return static_cast<Micros>(std::llround(value * 1000));
 }
 
-// Counts over a window. Guards against reports that contradict themselves: more failures than tries, or a
-// time without length.
+// Counts over a window, which has a length.
 template <class Report>
 void counts(const wire::Fields& f, std::int64_t Report::*all, Report& r) {
   r.*all = f.integer("n", 0, wire::kIntMax);
   r.failed = f.integer("bad", 0, wire::kIntMax);
   r.window = micros(f, "window");
-  if (r.failed > r.*all) wire::bad(f.where(), "'bad' is more than 'n'");
   if (r.window <= 0) wire::bad(f.where(), "'window' is 0");
 }
 
@@ -46,6 +44,7 @@
     r.zone = placeIn(names.zones, f, "az");
     r.server = wire::serverId(f, "host");
     counts(f, &ServerReport::tries, r);
+    if (r.failed > r.tries) wire::bad(f.where(), "'bad' is more than 'n'");
     // The mean of what succeeded: without it a server would look as quick as none is.
     if (r.tries > r.failed || f.find("avg") != nullptr) r.latency = micros(f, "avg");
     if (r.tries > r.failed && r.latency <= 0) wire::bad(f.where(), "'avg' is 0");
@@ -55,7 +54,7 @@
     SliceDemand d;
     d.slice = static_cast<TableId>(f.integer("partition", 0, slices - 1));
     d.cls = placeIn(names.classes, f, "kind");
-    counts(f, &SliceDemand::requests, d);
+    counts(f, &SliceDemand::requests, d);  // it may count failures of requests that came in an earlier window
     return d;
   }
   wire::bad("message", "unknown type '" + type.substr(0, 40) + "'");
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,8 +56,7 @@
   double allHeat = 0, allWeight = 0;            // weight of usable servers, as if all were warm
   double onTrial = 0, newcomers = 0, left = 0;  // slices on unproved servers; those; servers that left
   double peers = 1;                             // the whole fleet's heat against that of own slices
-  std::vector<double> works;                    // by class
-  std::vector<double> demand;                   // heat of own slices by class
+  std::vector<double> works, demand;            // by class: of a request; heat of own slices
   Tally fleet;
   double usual = 0;  // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
@@ -79,9 +78,8 @@
 
   // ---- Estimates ----
 
-  // Rates are counted over the time that reports cover: a supervisor just started would else take the first
-  // of them for all. A slice just given counts as a mean one for a while: else a batch of them lands on one
-  // server.
+  // Rates are counted over the time that reports cover: the first of them are not all. A slice just given
+  // counts as a mean one for a while: else a batch of them lands on one server.
   void reckonHeat() {
     double known = 0, sum = 0;
     demand.assign(cfg.classes.size(), 0);
@@ -101,8 +99,7 @@
 
   double listedWeight(const Server& s) const { return s.listedWeight(cfg.listedWeights); }
   double weight(const Server& s) const { return s.strength * listedWeight(s); }
-  bool startedWithin(const Server& s, Micros span) const { return s.startedWithin(now, span); }
-  bool isCold(const Server& s) const { return startedWithin(s, cfg.warmAfter); }
+  bool isCold(const Server& s) const { return s.startedWithin(now, cfg.warmAfter); }
 
   // The part of its capacity that a server has now: a cold one ramps up evenly over the stated time.
   double ramp(const Server& s) const {
@@ -124,12 +121,8 @@
   // Guards against taking a bad way between zones (slow, lossy or cut) for bad servers: what one zone's
   // proxies meet at all servers of a zone beyond what the best placed proxies meet there is the way's.
   void reckonWays() {
-    std::map<int, std::map<int, Zone>> met;  // zone of the servers, of the proxies
-    for (auto& [id, s] : servers) {
-      for (const auto& [zone, seen] : s.seen) met[s.entry.zone][zone].add(now, seen, kHealthMemory);
-    }
     ways.clear();
-    for (const auto& [there, zones] : met) {
+    for (const auto& [there, zones] : metBetween(servers, now, kHealthMemory)) {
       double least = 1e18, lost = 1;
       for (const auto& [here, m] : zones) {
         if (const double l = m.latency(now, kHealthMemory); l > 0) least = std::min(least, l);
@@ -143,9 +136,8 @@
     }
   }
 
-  // Heat by server, from the tables as decided. What peers' slices bring is unseen: the store's first tables
-  // are taken as fair, so it is what own slices lacked there; on a server that changed since, peers did as
-  // this one.
+  // Heat by server, from the tables as decided. What peers' slices bring is unseen: it is what own slices
+  // lacked of a fair share in the store's first tables; on a server changed since, peers did as this one.
   void reckon() {
     reckonHeat();
     reckonWays();
@@ -274,7 +266,7 @@
     for (const auto& entry : order) {
       Slice& s = slices[std::get<2>(entry)];
       ServerId to = coolest(
-          s, [&](const Server& v) { return (v.usable() || mayTry(v)) && !startedWithin(v, kTargetAge); });
+          s, [&](const Server& v) { return (v.usable() || mayTry(v)) && !v.startedWithin(now, kTargetAge); });
       if (to.empty()) to = coolest(s, [&](const Server& v) { return v.ready(); });
       if (to.empty()) continue;
       move(std::get<2>(entry), to, whyLeave(s));
@@ -293,7 +285,8 @@
   void refill() {
     if (heardFrom == 0 || now - heardFrom < kSettledStart) return;  // started itself: knows no loads yet
     for (auto& [id, r] : servers) {
-      if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery || startedWithin(r, kRefillAge))
+      if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery ||
+          r.startedWithin(now, kRefillAge))
         continue;
       if (load(r) >= kRefillBelow * mean) continue;
       std::pair<const ServerId, Server>* donor = nullptr;
@@ -351,13 +344,16 @@
 
   // ---- The hot rule ----
 
-  // Departure: a server pressed at fair heat while most are not is weaker than listed, whatever the cause (a
-  // slow machine, a neighbour, costly keys); it counts for less until it is at ease for long. Could harm
-  // where a short trouble makes many look weak in turn.
-  void judgeStrength() {
+  double typicalPressure() const {
     std::vector<double> all;
     for (const auto& [id, s] : servers) all.push_back(s.usable() ? s.pressure : 0);
-    if (strained || median(all) > kRelaxed) return;
+    return median(all);
+  }
+
+  // Departure: a server pressed at fair heat while most are not is weaker than listed; it counts for less
+  // until it is at ease for long. Could harm where a short trouble makes many look weak in turn.
+  void judgeStrength() {
+    if (strained || typicalPressure() > kRelaxed) return;
     for (auto& [id, s] : servers) {
       if (!s.usable() || isCold(s) || now < std::max(s.strengthAt, s.movedAt) + settle()) continue;
       const double before = s.strength;
@@ -424,7 +420,7 @@
       const bool left = shed(id, "hot", [&](const Slice& t) {
         return coolest(t, [&](const Server& c) {
           return c.usable() && c.hotRuns < kHotReports && load(c) < mean &&
-                 !startedWithin(c, kSettledStart) && t.heat <= allHeat * weight(c) / allWeight;
+                 !c.startedWithin(now, kSettledStart) && t.heat <= allHeat * weight(c) / allWeight;
         });
       });
       if (!left) continue;
@@ -556,7 +552,7 @@
   // What must go waits for room for all of it or a good part of a message; the rest for its turn.
   bool mayWrite(Urgency first, double wanted) {
     const double most = kMessageShare[first] * cfg.messagesPerProxyMax;
-    if (cfg.messagesPerProxyMax > 0 && channel.messagesWithin(now, cfg.messagesSpan) >= most) return false;
+    if (channel.messagesWithin(now, cfg.messagesSpan) >= most && cfg.messagesPerProxyMax > 0) return false;
     const double whole = cfg.linesWaitingMax * kQueueShare[first] / channel.proxies();
     if (linesQueued() > 0 && room(first) < std::min(wanted, kGatherShare * whole)) return false;
     return first <= kEvacuation || now - routineAt >= kRoutineEvery;
@@ -584,7 +580,7 @@
       const bool held = cfg.slices > 0 ? uses.held.count(id) > 0 : allWeight > 0;
       const bool leave = held && leaving(s) && !cfg.oneOwner;
       const bool due = !s.ready() && now + way + kGraceMargin > s.leftAt + cfg.drainGrace;
-      const bool stay = cfg.slices > 0 ? uses.stale.count(id) > 0 : startedWithin(s, kSettledStart);
+      const bool stay = cfg.slices > 0 ? uses.stale.count(id) > 0 : s.startedWithin(now, kSettledStart);
       const bool wanted = s.withdrawn ? leave || stay : leave && (due || uses.needed.count(id) == 0);
       if (wanted != s.withdrawn) orders.insert(orders.begin(), Withdraw{id, wanted});
       if (wanted && s.withdrawn && s.repeat) orders.push_back(Withdraw{id, true});  // a proxy joined since
@@ -738,7 +734,7 @@
     const auto it = servers.find(r.server);
     if (it == servers.end()) return;
     Server& s = it->second;
-    if (startedWithin(s, kReportsLag + r.window)) return;  // of its former life, or too near it
+    if (s.startedWithin(now, kReportsLag + r.window)) return;  // of its former life, or too near it
     s.reportedAt = now;
     s.proved = s.seen[r.zone].add(now, r, kHealthMemory) || s.proved;
   }
@@ -782,6 +778,8 @@
     }
     // Where changes are pushed an old list that nothing changed by now holds; else it is asked for anew.
     listFresh = listFresh || (!cfg.listOnRequest && now - bornAt > kOldListHolds);
+    // Guards against records that grow with the day where servers are replaced by others.
+    forgetLeft(servers, usesOf(slices, [](const ServerId&) { return true; }), now - 2 * kLeftSpan);
     reckon();
     judgeHealth();
     evacuate();
--- a/src/state.h
+++ b/src/state.h
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <set>
 #include <tuple>
@@ -74,6 +75,7 @@
     confirmed_ += by->second - it->second;
     it->second = by->second;
   }
+  std::size_t marks() const { return orderedBy_.size(); }
   int nextMark() const { return (mark_ + 1) % kMarks; }
   // A message of so many lines to each proxy; returns its mark.
   int send(Micros now, double lines, double slowestPace) {
@@ -83,6 +85,7 @@
     messages_.push_back(now);
     mark_ = nextMark();
     orderedBy_[mark_] = ordered_;
+    forgetConfirmed();
     return mark_;
   }
   // Lines that wait: what is not confirmed, but no more than the slowest pace leaves.
@@ -96,6 +99,14 @@
   }
 
  private:
+  // Marks that every proxy has confirmed tell nothing more: without this they would grow with the day.
+  void forgetConfirmed() {
+    double least = ordered_;
+    for (const auto& [proxy, lines] : confirmedBy_) least = std::min(least, lines);
+    for (auto it = orderedBy_.begin(); it != orderedBy_.end();)
+      it = it->first != mark_ && it->second <= least ? orderedBy_.erase(it) : std::next(it);
+  }
+
   static constexpr int kMarks = 65536;     // the wire's range
   std::map<ProxyId, double> confirmedBy_;  // of the lines ordered of one proxy
   std::map<int, double> orderedBy_;        // mark
@@ -245,6 +256,16 @@
   bool usable() const { return ready() && !failing && proved && !withdrawn; }
 };
 
+// What was met between zones: by zone of the servers, of the proxies.
+inline std::map<int, std::map<int, Zone>> metBetween(const std::map<ServerId, Server>& servers, Micros now,
+                                                     Micros memory) {
+  std::map<int, std::map<int, Zone>> met;
+  for (const auto& [id, s] : servers) {
+    for (const auto& [zone, seen] : s.seen) met[s.entry.zone][zone].add(now, seen, memory);
+  }
+  return met;
+}
+
 using Lines = std::map<ServerId, double>;
 
 struct Slice {
@@ -323,15 +344,18 @@
   }
 };
 
-// Servers in the tables as sent: in any; in one that has no open line; in one that no longer wants them.
+// Servers in the tables as sent: in any; in one that has no open line; in one that no longer wants them. And
+// those that any slice's record names beside that.
 struct Uses {
-  std::set<ServerId> held, needed, stale;
+  std::set<ServerId> held, needed, stale, named;
 };
 template <class Open>
 Uses usesOf(const std::map<TableId, Slice>& slices, Open open) {
   Uses uses;
   for (const auto& [t, s] : slices) {
     bool covered = false;
+    uses.named.insert(s.home);
+    for (const auto& [id, w] : s.want) uses.named.insert(id);
     for (const auto& [id, w] : s.sent) covered = covered || open(id);
     for (const auto& [id, w] : s.sent) {
       uses.held.insert(id);
@@ -342,6 +366,16 @@
   return uses;
 }
 
+// Drops the records of servers that left before a time and that no slice names.
+inline void forgetLeft(std::map<ServerId, Server>& servers, const Uses& uses, Micros before) {
+  for (auto it = servers.begin(); it != servers.end();) {
+    const Server& s = it->second;
+    const bool named = uses.held.count(it->first) + uses.named.count(it->first) > 0;
+    const bool left = !s.ready() && !s.withdrawn && s.leftAt > 0 && s.leftAt < before;
+    it = left && !named ? servers.erase(it) : std::next(it);
+  }
+}
+
 inline double median(std::vector<double> values) {
   std::sort(values.begin(), values.end());
   return values.empty() ? 0 : values[values.size() / 2];
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,11 +1,13 @@
 // The decision module by symptom, without the bench: events go in, orders come out and are kept as tables.
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <string>
 #include <vector>
 
 #include "scene.h"
+#include "state.h"
 
 namespace peargrade {
 namespace {
@@ -872,6 +874,73 @@
   EXPECT_NE(s.home(1), "s_b");
 }
 
+// ---- Long days ----
+
+// Guards against records that grow with the day: marks that all have confirmed, servers that others replaced.
+TEST(LongDay, MarksThatAllHaveConfirmedAreForgotten) {
+  Channel channel;
+  for (int p = 0; p < 3; ++p) channel.join(p);
+  for (int k = 0; k < 5000; ++k) {
+    const int mark = channel.send(k * kSecond, 10, 1000);
+    EXPECT_GT(channel.waiting(k * kSecond, 1000), 0);
+    for (int p = 0; p < 3; ++p) channel.confirm(p, mark);
+    EXPECT_EQ(channel.waiting(k * kSecond, 1000), 0);
+    ASSERT_LE(channel.marks(), 2u);
+  }
+  const int early = channel.send(1e10, 10, 1000), late = channel.send(1e10, 10, 1000);
+  channel.confirm(0, late);
+  channel.confirm(1, early);
+  EXPECT_LE(channel.marks(), 4u) << "what one has not confirmed stays";
+  EXPECT_EQ(channel.waiting(1e10, 1000), 10 + 20);
+}
+
+TEST(LongDay, ServersThatOthersReplacedAreForgottenOnceNothingNamesThem) {
+  std::map<ServerId, Server> servers;
+  std::map<TableId, Slice> slices;
+  for (const char* id : {"left", "named", "wanted", "out", "late", "here"}) {
+    servers[id].listed = std::string(id) == "here";
+    servers[id].leftAt = std::string(id) == "here" ? 0 : std::string(id) == "late" ? 90 : 10;
+  }
+  servers["out"].withdrawn = true;
+  slices[1] = Slice(0, 1);
+  slices[1].home = slices[1].firstHome = "here";
+  slices[1].sent = {{"named", 1}};
+  slices[1].want = {{"wanted", 1}};
+  forgetLeft(servers, usesOf(slices, [](const ServerId&) { return true; }), 50);
+  std::set<ServerId> kept;
+  for (const auto& [id, s] : servers) kept.insert(id);
+  EXPECT_EQ(kept, (std::set<ServerId>{"here", "late", "named", "out", "wanted"}));
+}
+
+TEST(LongDay, AFleetReplacedAgainAndAgainLeavesNothingBehind) {
+  Scene s;
+  s.start(16);
+  std::vector<std::size_t> held;
+  for (int round = 0; round < 30; ++round) {
+    for (int k = 0; k < 4; ++k)
+      s.tell("r" + std::to_string(round) + "_" + std::to_string(k), ServerState::Ready, s.now);
+    s.run(8 * kSecond);
+    for (const auto& [id, e] : std::map<std::string, ServerEntry>(s.list)) {
+      if (id.compare(0, 1, "r") != 0 || std::atoi(id.c_str() + 1) < round) s.tell(id, ServerState::Draining);
+    }
+    s.run(4 * kSecond);
+    for (const auto& [id, e] : std::map<std::string, ServerEntry>(s.list)) {
+      if (e.state == ServerState::Draining) s.tell(id, ServerState::Gone);
+    }
+    s.run(4 * kSecond);
+    for (int t = 0; t < 16; ++t) EXPECT_EQ(std::atoi(s.home(t).c_str() + 1), round) << "slice " << t;
+    s.logs.clear();
+    s.messagesAt.clear();
+    s.shut.clear();
+#if defined(__GLIBC__) && !defined(__SANITIZE_ADDRESS__)
+    held.push_back(mallinfo2().uordblks);
+#endif
+  }
+  if (held.empty()) return;
+  EXPECT_LT(static_cast<double>(held.back()), 1.1 * static_cast<double>(held[8]))
+      << held[8] << " " << held.back();
+}
+
 TEST(WithoutSlices, ServersThatDrainAreWithdrawnAndComeBack) {
   Settings settings = plainSettings();
   settings.slices = 0;
