A server pressed since it was first heard is judged hot against the fleet

Cause: judgeHot compares with the server's own lowest, which is high from the start (rules.cpp judgeHot). Ruled out: lost reports (all three collectors were heard, spoilt fields 1 in 100). Now pressure over twice the median one, and over the mark of ease, counts as slow too; the heat test stays.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -365,12 +365,15 @@
   }
 
   // Design item 3: hot after some reports running that pass both tests, heard since the last move off it.
+  // Departure: one that was pressed whenever it was heard has no low of its own; the fleet's stands for it.
   void judgeHot() {
+    const double typical = typicalPressure();
     for (auto& [id, s] : servers) {
       if (s.reportedAt <= s.hotJudgedAt || now - s.hotJudgedAt < cfg.reportEvery) continue;
       s.hotJudgedAt = now;
       const double low = s.latencies.least();
-      const bool slow = low > 0 && s.latency > kHotLatency * low;
+      const bool slow = (low > 0 && s.latency > kHotLatency * low) ||
+                        (typical > 0 && s.pressure > std::max(kRelaxed, kHotLatency * typical));
       const bool heavy = allWeight > 0 && s.heat + s.hidden > allHeat * weight(s) / allWeight;
       s.hotRuns = slow && heavy && now >= s.movedAt + settle() ? s.hotRuns + 1 : 0;
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -528,6 +528,21 @@
   EXPECT_EQ(s.count(": hot"), 0);
 }
 
+// Guards against a server that is pressed from its first report on: it has no low latency of its own to
+// exceed.
+TEST(Hot, AServerPressedSinceItWasFirstHeardIsHotAgainstTheFleet) {
+  Settings settings = plainSettings();
+  settings.slices = 16;
+  Scene s(settings);
+  s.rates[{0, 0}] = 32;
+  s.rates[{4, 0}] = 18;
+  s.latency["s_a"] = 350 * kMs;
+  s.start(16);
+  s.run(8 * kSecond);
+  EXPECT_GE(s.count(": hot"), 1);
+  EXPECT_NE(s.home(4), "s_a");
+}
+
 TEST(Hot, WhenAllAreSlowNothingMoves) {
   Scene s;
   s.start(16);
