Servers that started while the supervisor was down are filled after its restart

Cause: they were never proved (nothing was sent there, so nothing was answered) and refill takes proved ones only; at n0, whose cached list was up to date, they had no change seen (changedAt 0), which refill wants too (rules.cpp refill, on(ListNews)). Ruled out: the list (all revisions told within 0.1 s of the start), lost orders (calls = replies). Now refill gives slices to unproved servers as far as evacuation may, and a cached entry that started within 30 s counts as changed. Could harm where listed servers are none: then a tenth of the slices is on trial, as before with evacuations.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -285,9 +285,8 @@
   void refill() {
     if (heardFrom == 0 || now - heardFrom < kSettledStart) return;  // started itself: knows no loads yet
     for (auto& [id, r] : servers) {
-      if (r.changedAt == 0 || !r.usable() || now - r.gaveAt < kRefillEvery ||
-          r.startedWithin(now, kRefillAge))
-        continue;
+      if (r.changedAt == 0 || !(r.usable() || mayTry(r)) || now - r.gaveAt < kRefillEvery) continue;
+      if (r.startedWithin(now, kRefillAge)) continue;
       if (load(r) >= kRefillBelow * mean) continue;
       std::pair<const ServerId, Server>* donor = nullptr;
       for (auto& d : servers) {
@@ -699,11 +698,11 @@
     }
     for (const ServerEntry& e : news.entries) {
       Server& s = servers[e.server];
-      if (news.mode != ListMode::Cached && e.startedAt > s.entry.startedAt && e.state == ServerState::Ready) {
-        s.restart(now);
-      }
+      const bool old = news.mode == ListMode::Cached;
+      if (!old && e.startedAt > s.entry.startedAt && e.state == ServerState::Ready) s.restart(now);
       s.take(e, now, cfg.goneIsAdvice);
-      s.proved = s.proved || news.mode == ListMode::Cached;
+      s.proved = s.proved || old;
+      if (old && s.startedWithin(now, kLeftSpan)) s.changedAt = e.startedAt;  // no table may name it yet
       if (e.state == ServerState::Draining) rollingUntil = now + kRollingSpan;
     }
     if (news.mode == ListMode::Cached) return;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -639,6 +639,31 @@
   EXPECT_GT(s.homesAt("s_b"), 0);
 }
 
+// Guards against servers that stay idle for the rest of the day because they started while the supervisor was
+// down: its old list shows them as ever, or the new one as strangers that never answered, and no table names
+// them.
+TEST(Placement, AfterARestartServersThatStartedMeanwhileAreFilled) {
+  for (const bool listed : {false, true}) {
+    Scene s;
+    s.start(16);
+    s.run(8 * kSecond);
+    ListNews old = s.news(ListMode::Cached);
+    for (const char* id : {"s_e", "s_f"}) {
+      ServerEntry e;
+      e.server = id;
+      e.startedAt = s.now;
+      s.list[id] = e;
+    }
+    if (listed) old = s.news(ListMode::Cached);
+    s.now += 5 * kSecond;
+    s.restartWith(old);
+    s.feed({s.news(listed ? ListMode::Delta : ListMode::Full)});
+    s.run(40 * kSecond);
+    EXPECT_GE(s.homesAt("s_e"), 1) << (listed ? "listed" : "new");
+    EXPECT_GE(s.homesAt("s_f"), 1) << (listed ? "listed" : "new");
+  }
+}
+
 TEST(Admission, UnderStrainAColdServerLetsInNoLargerShareThanTheWarm) {
   Settings settings = plainSettings();
   settings.probesAllowed = true;
