A drowning server is no target though its heat looks low

Cause: coolest() and refill() weigh heat alone (rules.cpp), and pressure was 0 for a server that holds no own slices, however slow peers' slices are heard there. Now a target's load counts by as much more as its pressure exceeds what is borne (the mark of overload or the fleet's median); refill passes over who is not at ease; pressure without own slices uses the longest aim; the median is over usable servers only (servers that left counted as at ease). Could harm where one slow report makes a good target look pressed for 2 s.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,8 +52,7 @@
   bool listFresh = false, subscribed = false;
   Micros bornAt = 0, rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
-  double mean = 0;                              // load, of usable servers
-  double allHeat = 0, allWeight = 0;            // weight of usable servers, as if all were warm
+  double mean = 0, allHeat = 0, allWeight = 0;  // load, and weight as if all were warm, of usable servers
   double onTrial = 0, newcomers = 0, left = 0;  // slices on unproved servers; those; servers that left
   double peers = 1;                             // the whole fleet's heat against that of own slices
   std::vector<double> works, demand;            // by class: of a request; heat of own slices
@@ -63,8 +62,7 @@
   std::vector<double> fleetLevels, fleetSent;  // by class, for all slices; a slice's own may be lower
   std::vector<std::size_t> byWorth;            // classes, least worth per work first
   Ways ways;
-  Micros routineAt = 0, usualAt = 0;
-  Micros heardFrom = 0;  // the first reports of demand begin here
+  Micros routineAt = 0, usualAt = 0, heardFrom = 0;  // the first reports of demand begin there
 
   State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {
     // Work isn't told; the aim of a class stands for it: operators grant heavier requests more time.
@@ -167,7 +165,9 @@
       fleet.tries += s.tally.tries;
       fleet.failed += s.tally.failed;
       if (answers >= kFewAnswers) s.latencies.add(now, s.latency, kLowestSpan);
-      s.pressure = aims[id] > 0 ? s.latency / (aims[id] / requests[id] * kSecond) : 0;
+      const double aim =
+          aims[id] > 0 ? aims[id] / requests[id] : *std::max_element(works.begin(), works.end());
+      s.pressure = s.latency / (aim * kSecond);  // without own slices heard from those of peers
     }
     peers = cfg.slices > 0 && !slices.empty() ? static_cast<double>(cfg.slices) / slices.size() : 1;
     const double own = allHeat;
@@ -216,10 +216,13 @@
   template <class Allowed>
   ServerId coolest(const Slice& slice, Allowed allowed) {
     std::vector<std::pair<double, ServerId>> loads;
+    const double borne = std::max(kOverloaded, typicalPressure());
     for (const auto& [id, s] : servers) {
       // In a rolling deploy those not yet replaced are likely to be next: a slice put there moves twice.
       const double lasting = now < rollingUntil && s.changedAt == 0 ? kNextToGo : 1;
-      if (id != slice.home && allowed(s)) loads.emplace_back(lasting * load(s, slice.heat), id);
+      // Guards against a drowning server, whatever drowns it: the little that it still holds looks cool.
+      const double pressed = std::max(1.0, s.pressure / borne);
+      if (id != slice.home && allowed(s)) loads.emplace_back(lasting * pressed * load(s, slice.heat), id);
     }
     if (loads.empty()) return {};
     const double most = std::min_element(loads.begin(), loads.end())->first * kNearlyCoolest;
@@ -285,9 +288,8 @@
   void refill() {
     if (heardFrom == 0 || now - heardFrom < kSettledStart) return;  // started itself: knows no loads yet
     for (auto& [id, r] : servers) {
-      if (r.changedAt == 0 || !(r.usable() || mayTry(r)) || now - r.gaveAt < kRefillEvery) continue;
-      if (r.startedWithin(now, kRefillAge)) continue;
-      if (load(r) >= kRefillBelow * mean) continue;
+      if (r.changedAt == 0 || !(r.usable() || mayTry(r)) || r.startedWithin(now, kRefillAge)) continue;
+      if (now - r.gaveAt < kRefillEvery || load(r) >= kRefillBelow * mean || r.pressure > kRelaxed) continue;
       std::pair<const ServerId, Server>* donor = nullptr;
       for (auto& d : servers) {
         if (!d.second.usable() || now < d.second.nextMoveAt || load(d.second) <= mean) continue;
@@ -345,7 +347,7 @@
 
   double typicalPressure() const {
     std::vector<double> all;
-    for (const auto& [id, s] : servers) all.push_back(s.usable() ? s.pressure : 0);
+    for (const auto& [id, s] : servers) all.insert(all.end(), s.usable() ? 1 : 0, s.pressure);
     return median(all);
   }
 
@@ -435,9 +437,9 @@
   // ---- Admission and retries ----
 
   // Each server's allowance, heat per unit of listed weight, is learned: a pressed server's is set a step
-  // under what it now gets, and raised in growing steps while it is relaxed until it binds no more. So it
-  // also says at once what a server may take that has just got slices. While pressure is high a passing cut
-  // lets the queue drain. A cold server is held to what warm ones bear, by its ramp, whoever sends the load.
+  // under what it now gets, and raised in growing steps while it is relaxed until it binds no more. While
+  // pressure is high a passing cut lets the queue drain. A cold one is held to what warm ones bear, by its
+  // ramp.
   void admit() {
     std::size_t open = 0, bound = 0;
     double taken = 0, offered = 0, weights = 0;
@@ -733,10 +735,9 @@
   }
 
   void on(const ServerReport& r) {
-    const auto it = servers.find(r.server);
-    if (it == servers.end()) return;
+    const auto it = servers.find(r.server);  // what is of its former life, or too near it, does not count
+    if (it == servers.end() || it->second.startedWithin(now, kReportsLag + r.window)) return;
     Server& s = it->second;
-    if (s.startedWithin(now, kReportsLag + r.window)) return;  // of its former life, or too near it
     s.reportedAt = now;
     s.proved = s.seen[r.zone].add(now, r, kHealthMemory) || s.proved;
   }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -132,6 +132,21 @@
 
 // A supervisor that gets slices after its peer died has heard nothing of them: as cold slices they would all
 // have gone to one server (seen to push a cold one over).
+// Guards against a server that drowns under what little it holds (a slow machine, costly keys, slices of
+// peers): its heat alone looks cool, and a deploy would heap the slices of drained servers on it.
+TEST(Placement, ADrowningServerIsNoTargetThoughItsHeatIsLow) {
+  Scene s(plainSettings(), 6);
+  for (int t = 0; t < 24; ++t) s.rates[{t, 0}] = t % 6 == 1 ? 2 : 10;  // s_b holds a fifth of what others do
+  s.latency["s_b"] = 2200 * kMs;
+  s.start(24);
+  s.run(8 * kSecond);
+  const int before = s.homesAt("s_b");
+  s.tell("s_a", ServerState::Draining);
+  s.run(2 * kSecond);
+  EXPECT_EQ(s.homesAt("s_a"), 0);
+  EXPECT_LE(s.homesAt("s_b"), before);
+}
+
 TEST(Placement, SlicesJustGivenAreSpreadAsMeanOnes) {
   Scene s;
   s.start(8);
