--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -325,28 +325,21 @@
 
 // Guards against a dial that never comes up: it may not take as long as a watch may be silent.
 TEST_F(WithDiscovery, AnAddressThatTakesNothingInIsGivenUpSoon) {
-  const int full = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  ASSERT_EQ(bind(full, reinterpret_cast<sockaddr*>(&at), size), 0);
-  ASSERT_EQ(listen(full, 0), 0);
-  getsockname(full, reinterpret_cast<sockaddr*>(&at), &size);
+  const Listener full(0);
+  const sockaddr_in at = full.address.socket();
   std::vector<int> fill;  // until its queue is full, dials hang
   for (int k = 0; k < 4; ++k) {
     fill.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    connect(fill.back(), reinterpret_cast<sockaddr*>(&at), size);
+    connect(fill.back(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
   }
   Discovery::Limits limits;
   limits.silence = 60000000;
   limits.connect = 50000;
-  discovery = std::make_unique<Discovery>(loop.base.get(), net::Address{"127.0.0.1", ntohs(at.sin_port)},
-                                          names, 0, exchange, *log.log, limits);
+  discovery =
+      std::make_unique<Discovery>(loop.base.get(), full.address, names, 0, exchange, *log.log, limits);
   ask(WatchList{true});
   ASSERT_TRUE(until([&] { return log.has("code=connect-timeout"); }));
   EXPECT_EQ(lists().back().mode, ListMode::Failed);
-  fill.push_back(full);
   for (int fd : fill) close(fd);
 }
 
--- a/tests/loop.h
+++ b/tests/loop.h
@@ -33,6 +33,24 @@
   }
 };
 
+// A bare listener on loopback: what dials it stays in its queue.
+struct Listener {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  net::Address address{"127.0.0.1", 0};
+
+  explicit Listener(int queue) {
+    sockaddr_in at = address.socket();
+    socklen_t size = sizeof at;
+    EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), size), 0);
+    EXPECT_EQ(listen(fd, queue), 0);
+    EXPECT_EQ(getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size), 0);
+    address.port = ntohs(at.sin_port);
+  }
+  ~Listener() { close(fd); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+};
+
 // A log whose lines a test can read.
 struct ReadLog {
   int ends[2] = {-1, -1};
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -468,23 +468,16 @@
 // Guards against a supervisor that stood still and takes its own pause for the relay's silence: the answer
 // has come in time, so the call is not in doubt.
 TEST_F(WithRelay, AStandstillOfItsOwnIsNoSilenceOfTheRelay) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&at), size), 0);
-  ASSERT_EQ(listen(listener, 8), 0);
-  getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size);
+  const Listener listener(8);
   Relay::Limits limits;
   limits.answer = 1000000;
   limits.newsSilence = 1000000;
-  relay = std::make_unique<Relay>(loop.base.get(), net::Address{"127.0.0.1", ntohs(at.sin_port)}, names, 100,
-                                  1, exchange, *log.log, limits);
-  evutil_make_socket_nonblocking(listener);
+  relay =
+      std::make_unique<Relay>(loop.base.get(), listener.address, names, 100, 1, exchange, *log.log, limits);
+  evutil_make_socket_nonblocking(listener.fd);
   const auto accepted = [&] {
     int fd = -1;
-    EXPECT_TRUE(until([&] { return (fd = accept(listener, nullptr, nullptr)) >= 0; }));
+    EXPECT_TRUE(until([&] { return (fd = accept(listener.fd, nullptr, nullptr)) >= 0; }));
     evutil_make_socket_nonblocking(fd);
     return fd;
   };
@@ -510,7 +503,7 @@
   }
   ASSERT_TRUE(until([&] { return relay->counts().answered == 1; }));
   EXPECT_EQ(log.count(" ended code="), 0u) << log.text;
-  for (int fd : {listener, news, calls}) close(fd);
+  for (int fd : {news, calls}) close(fd);
 }
 
 TEST_F(WithRelay, ACallThatAProxyConfirmedIsNotRepeated) {
--- a/tests/serve_test.cpp
+++ b/tests/serve_test.cpp
@@ -316,6 +316,7 @@
   relay2.slices = relay.slices;
   std::string moved = replaced(first, discovery.address().text(), discovery2.address().text());
   moved = replaced(moved, relay.address().text(), relay2.address().text());
+  moved = replaced(moved, "\"sockets\": 1024", "\"sockets\": 512");
   write(moved);
   program.signal(SIGHUP);
   program.signal(SIGHUP);
@@ -323,6 +324,7 @@
   ASSERT_TRUE(loop.until([&] { return discovery2.watching() == 1 && relay2.watches == 1; }))
       << program.output();
   ASSERT_TRUE(loop.until([&] { return discovery.watching() == 0 && relay.open() == 0; }));
+  EXPECT_TRUE(said("'limits' is taken over by a restart only")) << program.output();
   discovery2.set("s1", "east", "DRAINING");
   ASSERT_TRUE(loop.until([&] {
     for (const auto& [host, weight] : relay2.slices[0]) {
