--- a/include/peargrade/director.h
+++ b/include/peargrade/director.h
@@ -37,6 +37,7 @@
   std::vector<RequestClass> classes;
   int supervisors = 1;
   int slices = 0;              // 0: tables are per proxy, not per slice
+  int proxies = 0;             // of the whole fleet; with slices each may join every supervisor; 0: not told
   bool listOnRequest = false;  // the server list is sent only after WatchList or FetchList
   bool listedWeights = false;  // the list's weights mean something
   bool probesAllowed = false;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,11 +33,13 @@
 constexpr double kAdmitLeast = 0.1, kClassLeast = 0.05, kLevelStep = 0.1, kCoarseStep = 0.3,
                  kLevelGrain = 0.05;
 constexpr double kUsualRise = 0.1, kStrainedBadShare = 0.15;  // a second; of all tries
-// Pacing. By urgency: the share of the message limit and of the lines that may wait. The channel may be
-// kSlowChannel times slower than it says; what must go waits for kGatherShare of a message's room.
+// Pacing. By urgency: the share of the message limit and of the lines that may wait. How slow the channel may
+// be is not told: kSlowChannel times slower than it says only counts where confirmations stay away. What must
+// go waits for kGatherShare of a message's room.
 constexpr double kMessageShare[] = {0.95, 0.7, 0.55, 0.5, 0.4}, kQueueShare[] = {0.9, 0.75, 0.6, 0.5, 0.25};
-constexpr double kSlowChannel = 4, kGatherShare = 0.25, kLevelShare = 0.5;
-constexpr Micros kGraceMargin = 300 * kMs, kRoutineEvery = 500 * kMs, kAskFirst = 250 * kMs;
+constexpr double kSlowChannel = 16, kGatherShare = 0.25, kLevelShare = 0.5;
+constexpr Micros kNewsLag = 1 * kSecond, kGraceMargin = 300 * kMs, kRoutineEvery = 500 * kMs,
+                 kAskFirst = 250 * kMs;
 
 }  // namespace
 
@@ -517,7 +519,7 @@
         if (demand[c] > 0) mean[c] += level * s.rates[c] * works[c] / demand[c];
       }
     }
-    const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / std::max(1.0, channel.proxies()) - head();
+    const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / receivers() - head();
     const bool oneForAll = exceptions > held && cfg.levelUnit == LevelUnit::Share;
     for (std::size_t c = 0; c < demand.size(); ++c) {
       const double level = oneForAll ? std::round(mean[c] / kLevelGrain) * kLevelGrain : 1;
@@ -543,6 +545,11 @@
 
   void log(const std::string& line) { out.push_back(Log{line}); }
 
+  // Proxies that a message may go to: of a fleet that joins every supervisor all may be there before their
+  // news are.
+  double receivers() const {
+    return std::max({1.0, channel.proxies(), cfg.slices > 0 ? static_cast<double>(cfg.proxies) : 0.0});
+  }
   // Guards against a channel slower than stated: what proxies have not confirmed counts as waiting.
   double linesQueued() const { return channel.waiting(now, cfg.linesPerSecond / kSlowChannel); }
 
@@ -550,14 +557,14 @@
   double head() const { return cfg.linesPerMessage + static_cast<double>(cfg.classes.size()) + 1; }
   double room(Urgency urgency) const {
     const double lines = cfg.linesWaitingMax * kQueueShare[urgency] - linesQueued();
-    return lines / std::max(1.0, channel.proxies()) - head();
+    return lines / receivers() - head();
   }
 
   // What must go waits for room for all of it or a good part of a message; the rest for its turn.
   bool mayWrite(Urgency first, double wanted) {
     const double most = kMessageShare[first] * cfg.messagesPerProxyMax;
     if (channel.messagesWithin(now, cfg.messagesSpan) >= most && cfg.messagesPerProxyMax > 0) return false;
-    const double whole = cfg.linesWaitingMax * kQueueShare[first] / channel.proxies();
+    const double whole = cfg.linesWaitingMax * kQueueShare[first] / receivers();
     if (linesQueued() > 0 && room(first) < std::min(wanted, kGatherShare * whole)) return false;
     return first <= kEvacuation || now - routineAt >= kRoutineEvery;
   }
@@ -661,9 +668,9 @@
     }
     for (const Action& order : withdrawals()) put(kMust, {order});
     if (orders.empty()) return;
-    orders.push_back(Mark{
-        channel.send(now, head() + static_cast<double>(orders.size()), cfg.linesPerSecond / kSlowChannel),
-        cfg.oneOwner});
+    const double lines = head() + static_cast<double>(orders.size());
+    orders.push_back(
+        Mark{channel.send(now, lines, receivers(), cfg.linesPerSecond / kSlowChannel), cfg.oneOwner});
     routineAt = now;
     out.insert(out.end(), orders.begin(), orders.end());
   }
@@ -713,7 +720,7 @@
   }
 
   void on(const ProxyJoined& e) {
-    channel.join(e.proxy);
+    channel.join(e.proxy, now - kNewsLag);
     rulesSent = false;  // standing orders ride on later messages only
     for (auto& [id, s] : servers) s.repeat = s.withdrawn;
   }
--- a/src/state.h
+++ b/src/state.h
@@ -49,7 +49,8 @@
   Micros updated_ = 0;
 };
 
-// What was ordered of the proxies and what they confirmed: each applies its messages in order.
+// What was ordered of the proxies and what they confirmed: messages leave one after the other, and each proxy
+// applies its own in order.
 class Channel {
  public:
   double proxies() const { return static_cast<double>(confirmedBy_.size()); }
@@ -58,9 +59,16 @@
     for (const auto& [proxy, lines] : confirmedBy_) ids.insert(proxy);
     return ids;
   }
-  void join(ProxyId proxy) {
-    leave(proxy);
-    confirmed_ += confirmedBy_[proxy] = ordered_;
+  // Its news may be read after messages went to it: those since then count as waiting for it too. One that is
+  // announced once more goes on with what waits for it.
+  void join(ProxyId proxy, Micros since) {
+    const auto [it, fresh] = confirmedBy_.try_emplace(proxy, ordered_);
+    if (!fresh) return;
+    for (const auto& [mark, m] : messages_) {
+      if (m.at >= since) it->second = std::min(it->second, m.from);
+    }
+    it->second = std::max(it->second, left_);
+    confirmed_ += it->second;
   }
   void leave(ProxyId proxy) {
     const auto it = confirmedBy_.find(proxy);
@@ -71,24 +79,26 @@
   // False: a mark that is not known, never asked for or confirmed by all long ago.
   bool confirm(ProxyId proxy, int mark) {
     const auto it = confirmedBy_.find(proxy);
-    const auto by = orderedBy_.find(mark);
-    if (it == confirmedBy_.end() || by == orderedBy_.end()) return false;
-    if (by->second > it->second) {
-      confirmed_ += by->second - it->second;
-      it->second = by->second;
+    const auto by = messages_.find(mark);
+    if (it == confirmedBy_.end() || by == messages_.end()) return false;
+    raise(it->second, by->second.upTo);
+    // Whatever was ordered before this message has left the channel, for all proxies.
+    if (by->second.from > left_) {
+      left_ = by->second.from;
+      for (auto& [other, lines] : confirmedBy_) raise(lines, left_);
     }
     return true;
   }
-  std::size_t marks() const { return orderedBy_.size(); }
+  std::size_t marks() const { return messages_.size(); }
   int nextMark() const { return (mark_ + 1) % kMarks; }
-  // A message of so many lines to each proxy; returns its mark.
-  int send(Micros now, double lines, double slowestPace) {
-    queued_ = waiting(now, slowestPace) + lines * proxies();
+  // A message of so many lines to each of so many proxies; returns its mark.
+  int send(Micros now, double lines, double receivers, double slowestPace) {
+    queued_ = waiting(now, slowestPace) + lines * std::max(receivers, proxies());
     sentAt_ = now;
-    ordered_ += lines;
-    messages_.push_back(now);
+    times_.push_back(now);
     mark_ = nextMark();
-    orderedBy_[mark_] = ordered_;
+    messages_[mark_] = {now, ordered_, ordered_ + lines};
+    ordered_ += lines;
     forgetConfirmed();
     return mark_;
   }
@@ -98,25 +108,36 @@
     return std::max(0.0, std::min(queued_ - gone, ordered_ * proxies() - confirmed_));
   }
   double messagesWithin(Micros now, Micros span) {
-    while (!messages_.empty() && messages_.front() <= now - span) messages_.pop_front();
-    return static_cast<double>(messages_.size());
+    while (!times_.empty() && times_.front() <= now - span) times_.pop_front();
+    return static_cast<double>(times_.size());
   }
 
  private:
+  struct Message {
+    Micros at;
+    double from, upTo;  // of the lines ordered of one proxy
+  };
+
+  void raise(double& lines, double to) {
+    if (lines >= to) return;
+    confirmed_ += to - lines;
+    lines = to;
+  }
   // Marks that every proxy has confirmed tell nothing more: without this they would grow with the day.
   void forgetConfirmed() {
     double least = ordered_;
     for (const auto& [proxy, lines] : confirmedBy_) least = std::min(least, lines);
-    for (auto it = orderedBy_.begin(); it != orderedBy_.end();)
-      it = it->first != mark_ && it->second <= least ? orderedBy_.erase(it) : std::next(it);
+    for (auto it = messages_.begin(); it != messages_.end();)
+      it = it->first != mark_ && it->second.upTo <= least ? messages_.erase(it) : std::next(it);
   }
 
   static constexpr int kMarks = 65536;     // the wire's range
   std::map<ProxyId, double> confirmedBy_;  // of the lines ordered of one proxy
-  std::map<int, double> orderedBy_;        // mark
+  std::map<int, Message> messages_;        // by mark
   double ordered_ = 0, confirmed_ = 0, queued_ = 0;
+  double left_ = 0;  // of the lines ordered of one proxy: these have left for all
   Micros sentAt_ = 0;
-  std::deque<Micros> messages_;
+  std::deque<Micros> times_;
   int mark_ = 0;
 };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -55,6 +55,7 @@
 
 void parseExtra(const Fields& f, Settings& s) {
   s.slices = static_cast<int>(f.integerOr("shards", 0, kTableMax - 1, 0));
+  s.proxies = static_cast<int>(f.integerOr("proxyCount", 0, kProxyMax + 1, 0));
   s.oneOwner = f.mark("oneOwner");
   const std::string level = f.textOr("throttleBy", "fraction");
   s.levelUnit = level == "fraction"     ? LevelUnit::Share
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -439,7 +439,7 @@
   EXPECT_EQ(s.homesAt("s_z"), 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(Paces, FullSize, testing::Values(1.0, 2.0, 4.0), [](const auto& info) {
+INSTANTIATE_TEST_SUITE_P(Paces, FullSize, testing::Values(1.0, 2.0, 4.0, 6.0), [](const auto& info) {
   return "Times" + std::to_string(static_cast<int>(info.param));
 });
 
@@ -862,10 +862,60 @@
   const std::size_t sent = s.messagesAt.size();
   s.tell("s_b", ServerState::Draining);
   EXPECT_EQ(s.messagesAt.size(), sent);
-  s.run(20 * kSecond);
+  s.run(5 * kSecond);
+  EXPECT_EQ(s.messagesAt.size(), sent) << "how slow the channel is, nobody told";
+  s.confirming = true;
+  for (int p = 0; p < 3; ++p) s.answers.push_back(OrderApplied{p, 1, kMs});
+  s.run(5 * kSecond);
   EXPECT_EQ(s.homesAt("s_b"), 0);
 }
 
+// A supervisor that starts reads of a crowd of proxies that joined before: what it orders when it has read of
+// a few goes to all of them.
+TEST(Pacing, TheFirstOrdersOfAStartCountForProxiesWhoseNewsAreStillToCome) {
+  Settings settings = plainSettings();
+  settings.slices = 500;
+  settings.proxies = 300;
+  Scene s(settings, 20);
+  s.confirming = false;
+  double waiting = 0;
+  const auto feed = [&](const std::vector<Event>& events) {
+    double lines = 0;
+    for (const Action& a : s.feed(events))
+      lines += std::get_if<SetLine>(&a) || std::get_if<Admit>(&a) || std::get_if<Withdraw>(&a);
+    if (lines > 0) waiting += settings.proxies * (settings.linesPerMessage + 1 + lines);
+  };
+  feed(s.startEvents(500));  // three proxies and all slices, none of which has a standby yet
+  EXPECT_LE(waiting, settings.linesWaitingMax);
+  std::vector<Event> crowd{TimerFired{"sweep"}};
+  for (int p = 3; p < settings.proxies; ++p) crowd.push_back(ProxyJoined{p, p % 2, 5, false});
+  s.now += 10 * kMs;
+  feed(crowd);
+  ListNews drain;  // and all that may follow at once does
+  drain.mode = ListMode::Delta;
+  for (int i = 0; i < 15; ++i) {
+    drain.entries.push_back(s.list[Scene::name(i)]);
+    drain.entries.back().state = ServerState::Draining;
+  }
+  s.now += 10 * kMs;
+  feed({drain});
+  EXPECT_LE(waiting, settings.linesWaitingMax);
+}
+
+TEST(Pacing, WhatWentToAProxyBeforeItsNewsWereReadWaitsForIt) {
+  Channel channel;
+  channel.join(1, 0);
+  channel.send(kSecond, 10, 1, 0);
+  channel.join(2, kSecond - kMs);
+  EXPECT_EQ(channel.waiting(2 * kSecond, 0), 10) << "no more than was counted then";
+  channel.send(2 * kSecond, 5, 2, 0);
+  EXPECT_EQ(channel.waiting(2 * kSecond, 0), 10 + 2 * 5);
+  channel.join(3, 3 * kSecond);
+  EXPECT_EQ(channel.waiting(3 * kSecond, 0), 10 + 2 * 5) << "one that joined later waits for nothing";
+  channel.join(1, 3 * kSecond);
+  EXPECT_EQ(channel.waiting(3 * kSecond, 0), 10 + 2 * 5) << "announced once more: its stream never broke";
+}
+
 // ---- The list on request ----
 
 TEST(List, IsSubscribedAtStartAndAgainAfterErrorsWithBackoff) {
@@ -955,25 +1005,26 @@
 // Guards against records that grow with the day: marks that all have confirmed, servers that others replaced.
 TEST(LongDay, MarksThatAllHaveConfirmedAreForgotten) {
   Channel channel;
-  for (int p = 0; p < 3; ++p) channel.join(p);
+  for (int p = 0; p < 3; ++p) channel.join(p, 0);
   for (int k = 0; k < 5000; ++k) {
-    const int mark = channel.send(k * kSecond, 10, 1000);
+    const int mark = channel.send(k * kSecond, 10, 3, 1000);
     EXPECT_GT(channel.waiting(k * kSecond, 1000), 0);
     for (int p = 0; p < 3; ++p) channel.confirm(p, mark);
     EXPECT_EQ(channel.waiting(k * kSecond, 1000), 0);
     ASSERT_LE(channel.marks(), 2u);
   }
-  const int early = channel.send(1e10, 10, 1000), late = channel.send(1e10, 10, 1000);
-  channel.confirm(0, late);
+  const int early = channel.send(1e10, 10, 3, 1000), late = channel.send(1e10, 10, 3, 1000);
   channel.confirm(1, early);
   EXPECT_LE(channel.marks(), 4u) << "what one has not confirmed stays";
-  EXPECT_EQ(channel.waiting(1e10, 1000), 10 + 20);
+  EXPECT_EQ(channel.waiting(1e10, 1000), 2 * 10 + 3 * 10);
+  channel.confirm(0, late);
+  EXPECT_EQ(channel.waiting(1e10, 1000), 2 * 10) << "what was ordered before it has left for all";
 }
 
 TEST(LongDay, AMarkThatWasNeverAskedForConfirmsNothing) {
   Channel channel;
-  channel.join(1);
-  const int mark = channel.send(kSecond, 10, 1000);
+  channel.join(1, 0);
+  const int mark = channel.send(kSecond, 10, 1, 1000);
   EXPECT_FALSE(channel.confirm(1, mark + 5));
   EXPECT_FALSE(channel.confirm(9, mark)) << "nobody of that name";
   EXPECT_EQ(channel.waiting(kSecond, 1000), 10);
