The list is watched whatever the settings say of it: drains kept on sites that push

No log of any supervisor has a line of discovery: "configuration read: discovery ..." is followed by "relay ... news ended code=moved" and by no end of a watch, and nodes were ready after 1.5 s only, the time that a silent peer is granted. Cause: Director::decide subscribes where `listOnRequest` holds, and these settings say `registryMode` pushed. Ruled out: orders late in the channel (25 replies, 0 missed), a slow channel. Change: serve tells the module that the list has to be asked for, whatever the settings say. Test: Life.TheListIsWatchedWhereTheSettingsSayThatItIsPushed fails without it.

--- a/src/supervisor/serve.cpp
+++ b/src/supervisor/serve.cpp
@@ -75,7 +75,8 @@
 
   exchange::Exchange exchange;
   Settings settings = config.settings;
-  settings.ordersTold = true;  // by src/relay
+  settings.ordersTold = true;     // by src/relay
+  settings.listOnRequest = true;  // discovery pushes to those that watch, whatever `registryMode` says
   Supervisor supervisor(config.seed, settings, exchange, log);
   clients::Clients::Limits clientLimits;
   clientLimits.connections = static_cast<std::size_t>(std::max(16, descriptors(config) - kOwnDescriptors));
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -1,6 +1,7 @@
 // The program as others start it: the command line, a life from the start to SIGTERM, and the example.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -90,6 +91,26 @@
   }
 };
 
+// Guards against a site whose settings say that lists are pushed: over HTTP nobody pushes to one that never
+// asked, and such a supervisor never heard of a drain.
+TEST_F(Life, TheListIsWatchedWhereTheSettingsSayThatItIsPushed) {
+  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
+  relay.proxies[0] = {"east", 5, true};
+  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  const WrittenConfig file(replaced(config(), "\"on_request\"", "\"pushed\""));
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  discovery.set("s1", "east", "DRAINING");
+  const auto leads = [](const auto& line) {
+    return line.first != "s1" && std::atof(line.second.c_str()) >= 1;
+  };
+  ASSERT_TRUE(loop.until([&] { return std::any_of(relay.slices[0].begin(), relay.slices[0].end(), leads); }))
+      << program.output();
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0);
+}
+
 TEST_F(Life, ServesADrainAndEndsAtSigterm) {
   for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
   relay.proxies[0] = {"east", 5, true};
