--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -711,7 +711,9 @@
     if (news.mode == ListMode::Failed) {
       subscribed = false;
       askBackoff = std::min(2 * askBackoff, std::max(kAskFirst, cfg.askWithin / 4));
-      askAgainAt = now + askBackoff;
+      // Guards against what is harmless in one and harmful in all: callers that were refused together would
+      // come again together.
+      askAgainAt = now + static_cast<Micros>(static_cast<double>(askBackoff) * (0.5 + 0.5 * rng.uniform()));
       return;
     }
     if (news.mode == ListMode::Full) {
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -1045,6 +1045,26 @@
   }
 }
 
+// All supervisors are refused at once when discovery has too many callers: they do not come again at once.
+TEST(List, ThoseRefusedTogetherDoNotAskAgainTogether) {
+  Settings settings = plainSettings();
+  settings.listOnRequest = true;
+  std::vector<Scene> all;
+  for (int k = 0; k < 40; ++k) {
+    all.emplace_back(settings, 4, k + 1);
+    all.back().start(4);
+  }
+  std::map<Micros, int> asked;  // of the third time on
+  for (Scene& s : all) {
+    for (int step = 0; step < 120; ++step) {
+      if (s.watchedAt.back() == s.now) s.feed({ListNews{ListMode::Failed, 0, {}}});
+      s.run(250 * kMs);
+    }
+    for (std::size_t k = 3; k < s.watchedAt.size(); ++k) ++asked[s.watchedAt[k]];
+  }
+  for (const auto& [at, count] : asked) EXPECT_LE(count, 20) << at;
+}
+
 TEST(List, PushedListsAreNotAskedFor) {
   Scene s;
   s.start(8);
