--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,7 +53,7 @@
   Channel channel;
   std::vector<Action> inHand;  // the last reply's orders, until they are told to be taken
   bool awaiting = false, held = false, again = false;  // its fate; orders wait for that; they may go now
-  bool listFresh = false, subscribed = false;
+  bool listFresh = false, subscribed = false, joined = false;  // joined: a proxy did, since the last decision
   Micros bornAt = 0, rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
   double mean = 0, allHeat = 0, allWeight = 0;  // load, and weight as if all were warm, of usable servers
@@ -61,7 +61,8 @@
   double peers = 1;                             // the whole fleet's heat against that of own slices
   std::vector<double> works, demand;            // by class: of a request; heat of own slices
   Tally fleet;
-  double usual = 0;  // heat that a unit of a warm server's listed weight bears
+  double typical = 0;  // pressure, of usable servers
+  double usual = 0;    // heat that a unit of a warm server's listed weight bears
   bool strained = false, strainedSent = false, rulesSent = false;
   std::vector<double> fleetLevels, fleetSent;  // by class, for all slices; a slice's own may be lower
   std::vector<std::size_t> byWorth;            // classes, least worth per work first
@@ -219,22 +220,22 @@
   // The coolest by projected heat; near ties are broken by the seed, so that supervisors choose differently.
   template <class Allowed>
   ServerId coolest(const Slice& slice, Allowed allowed) {
-    std::vector<std::pair<double, ServerId>> loads;
-    const double borne = std::max(kOverloaded, typicalPressure());
+    std::vector<std::pair<double, const ServerId*>> loads;
+    const double borne = std::max(kOverloaded, typical);
     for (const auto& [id, s] : servers) {
       // In a rolling deploy those not yet replaced are likely to be next: a slice put there moves twice.
       const double lasting = now < rollingUntil && s.changedAt == 0 ? kNextToGo : 1;
       // Guards against a drowning server, whatever drowns it: the little that it still holds looks cool.
       const double pressed = std::max(1.0, s.pressure / borne);
-      if (id != slice.home && allowed(s)) loads.emplace_back(lasting * pressed * load(s, slice.heat), id);
+      if (id != slice.home && allowed(s)) loads.emplace_back(lasting * pressed * load(s, slice.heat), &id);
     }
     if (loads.empty()) return {};
     const double most = std::min_element(loads.begin(), loads.end())->first * kNearlyCoolest;
-    std::vector<ServerId> near;
+    std::vector<const ServerId*> near;
     for (const auto& [l, id] : loads) {
       if (l <= most) near.push_back(id);
     }
-    return near[rng.next() % near.size()];
+    return *near[rng.next() % near.size()];
   }
 
   void move(TableId table, const ServerId& to, const std::string& reason) {
@@ -265,6 +266,7 @@
   // Design item 2: unhomed slices, then those on servers that are draining, gone, failing or just restarted,
   // the hottest first, each to the coolest server as the moves before it leave things.
   void evacuate() {
+    typical = typicalPressure();
     std::vector<std::tuple<bool, double, TableId>> order;
     for (const auto& [t, s] : slices) {
       if (whyLeave(s) != nullptr) order.emplace_back(!s.home.empty(), -s.heat, t);
@@ -313,36 +315,45 @@
   // home is down, refuses or is out of reach: in another zone, the standbys of one home spread over many.
   void standBy() {
     if (cfg.oneOwner) return;
-    std::map<ServerId, std::map<ServerId, int>> backs;  // by home, how many of its slices each one backs
+    std::vector<std::pair<const ServerId*, int>> open;  // who may back, and its zone
+    std::map<ServerId, std::size_t> place;
+    for (const auto& [id, v] : servers) {
+      if (!v.usable() || isCold(v)) continue;
+      place[id] = open.size();
+      open.emplace_back(&id, v.entry.zone);
+    }
+    std::map<ServerId, std::vector<int>> backs;  // by home, how many of its slices each one backs
     std::vector<TableId> lacking;
     for (auto& [t, s] : slices) {
       if (s.home.empty()) continue;
+      std::vector<int>& used = backs[s.home];
+      used.resize(open.size());
       bool has = false;
       for (auto line = s.want.begin(); line != s.want.end();) {
-        const Server& v = servers[line->first];
-        const bool keep = line->first == s.home || (!listFresh && !v.listed);
-        const bool backup = !keep && v.usable() && !isCold(v);
-        if (backup) {
-          ++backs[s.home][line->first];
+        const bool keep = line->first == s.home || (!listFresh && !servers[line->first].listed);
+        const auto backup = keep ? place.end() : place.find(line->first);
+        if (backup != place.end()) {
+          ++used[backup->second];
           line->second = std::min(line->second, s.want[s.home] * kStandbyShare);
+          has = true;
         }
-        has = has || backup;
-        line = keep || backup ? std::next(line) : s.want.erase(line);
+        line = keep || backup != place.end() ? std::next(line) : s.want.erase(line);
       }
       if (!has) lacking.push_back(t);
     }
     for (TableId t : lacking) {
       Slice& s = slices[t];
-      std::map<ServerId, int>& used = backs[s.home];
-      std::tuple<int, bool, double, ServerId> best{1 << 30, true, 0, {}};
-      for (const auto& [id, v] : servers) {
-        if (id == s.home || !v.usable() || isCold(v)) continue;
-        const bool near = v.entry.zone == servers[s.home].entry.zone;
-        best = std::min(best, {used.count(id) > 0 ? used[id] : 0, near, rng.uniform(), id});
+      std::vector<int>& used = backs[s.home];
+      const int zone = servers[s.home].entry.zone;
+      std::tuple<int, bool, double> best{1 << 30, true, 0};
+      std::size_t standby = open.size();
+      for (std::size_t k = 0; k < open.size(); ++k) {
+        if (*open[k].first == s.home) continue;
+        const std::tuple<int, bool, double> mark{used[k], open[k].second == zone, rng.uniform()};
+        if (mark < best) best = mark, standby = k;
       }
-      const ServerId standby = std::get<3>(best);
-      if (standby.empty()) continue;
-      s.want[standby] = s.want[s.home] * kStandbyShare;
+      if (standby == open.size()) continue;
+      s.want[*open[standby].first] = s.want[s.home] * kStandbyShare;
       ++used[standby];
     }
   }
@@ -423,6 +434,7 @@
       hot += s.usable() && s.hotRuns >= kHotReports;
     }
     if (hot == open || strained) return;
+    typical = typicalPressure();
     for (auto& [id, s] : servers) {
       if (!s.usable() || s.hotRuns < kHotReports || now < s.nextMoveAt) continue;
       const bool left = shed(id, "hot", [&](const Slice& t) {
@@ -736,7 +748,7 @@
   void on(const ProxyJoined& e) {
     channel.join(e.proxy, now - kNewsLag);
     rulesSent = false;  // standing orders ride on later messages only
-    for (auto& [id, s] : servers) s.repeat = s.withdrawn;
+    joined = true;
     expectNothing(e.proxy);
   }
 
@@ -748,6 +760,7 @@
   // A proxy whose stream is a new one or gone confirms nothing that went before.
   void expectNothing(ProxyId proxy) {
     for (auto& [t, s] : slices) {
+      if (!cfg.oneOwner) break;
       if (s.unsettled.erase(proxy) > 0) s.freeAt = std::max(s.freeAt, now + cfg.lease + cfg.writeSettle);
     }
   }
@@ -818,6 +831,8 @@
       out.push_back(WatchList{true});
       subscribed = true;
     }
+    for (auto& [id, s] : servers) s.repeat = s.repeat || (joined && s.withdrawn);
+    joined = false;
     // Where changes are pushed an old list that nothing changed by now holds; else it is asked for anew.
     listFresh = listFresh || (!cfg.listOnRequest && now - bornAt > kOldListHolds);
     // Guards against records that grow with the day where servers are replaced by others.
