A new owner waits until the missed removal of the old one is in the store

Need: read again after the change to replies whose fate is told. Two owners at once. Change: no hand-over while something missed is in hand; its repetition waits for everyone's confirmation again. Test: Way.NoNewOwnerWhileTheRemovalOfTheOldOneWasMissed fails without it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -586,7 +586,7 @@
   // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
   // owner's waits until every proxy has confirmed (or has lost its lease) and the writes in hand are done.
   std::vector<Action> handOver(TableId t, Slice& s) {
-    if (!cfg.oneOwner || s.sent == s.want) return {};
+    if (!cfg.oneOwner || s.sent == s.want || !inHand.empty()) return {};  // first what was missed
     if (s.sent.empty())
       return now >= s.freeAt && s.unsettled.empty() ? s.changedLines(t) : std::vector<Action>{};
     return {SetLine{t, s.sent.begin()->first, 0}};
@@ -671,6 +671,9 @@
     if (!inHand.empty() && linesQueued() > 0 && static_cast<double>(inHand.size()) > room(kMust)) return;
     std::vector<Action> orders = std::move(inHand);
     inHand.clear();
+    for (const Action& order : orders) {  // until now proxies read the old owner in the store
+      if (cfg.oneOwner && std::holds_alternative<SetLine>(order)) note(order);
+    }
     const auto put = [&](Urgency urgency, const std::vector<Action>& more) {
       const double lines = static_cast<double>(orders.size() + more.size());
       if (lines > room(urgency) && (!orders.empty() || linesQueued() > 0)) return false;
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -1017,6 +1017,27 @@
   EXPECT_GE(messages, 2);
 }
 
+// Where a slice has one owner the new one may not come before the old one's removal is in the store and
+// everyone has confirmed it, whoever joined between.
+TEST_F(Way, NoNewOwnerWhileTheRemovalOfTheOldOneWasMissed) {
+  settings.oneOwner = true;
+  settings.writeSettle = 20 * kMs;
+  s = Scene(settings);
+  begin();
+  std::vector<Action> reply = s.tell("s_b", ServerState::Draining);
+  ASSERT_GE(lines(reply).size(), 2u);
+  const auto removals = lines(reply);
+  later({ProxyJoined{0, 0, 5, false}, ProxyJoined{1, 1, 5, false}, ProxyJoined{2, 0, 5, false}});
+  s.now += 2 * kSecond;
+  reply = later({OrdersTold{markOf(reply), false, 1}});
+  EXPECT_EQ(lines(reply), removals);
+  const int mark = markOf(reply);
+  EXPECT_TRUE(lines(later({OrdersTold{mark, true, 1}, TimerFired{"sweep"}})).empty());
+  later({OrderApplied{0, mark, kMs}, OrderApplied{1, mark, kMs}, OrderApplied{2, mark, kMs}});
+  s.now += kSecond;
+  EXPECT_EQ(lines(later({TimerFired{"sweep"}})).size(), removals.size()) << "the new owners";
+}
+
 TEST_F(Way, WhatMadeNoMessageDoesNotCount) {
   begin();
   std::vector<Action> reply = s.tell("s_b", ServerState::Draining);
