Newcomers are filled from their third second, and what is back is let in first

Checked (beliefs and lines by urgency, logged each second): the mean that makes a donor left out unproved servers that may be tried (`reckon`), refill waited 5 s from a start where evacuation waits 2 s (`kRefillAge`), and what is back stays withdrawn while lines of its old life stand, whose removal went last, behind levels (`addLines`). Excluded: failing servers (0 to 3), the trial limit, the list.

Change: the mean counts what may be tried; one age, `kTargetAge`, for both (the settings give a server its start capacity at once, and the ramp holds it to that); lines left at a server that is ready again go with the evacuations.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -22,7 +22,7 @@
 constexpr double kColdDiscount = 0.85, kColdStrained = 0.7, kNearlyCoolest = 1.1, kNextToGo = 1.3;
 constexpr double kStandbyShare = 0.001, kTrialShare = 0.1, kRefillBelow = 0.8;
 constexpr Micros kRollingSpan = 10 * kSecond, kLeftSpan = 30 * kSecond, kTargetAge = 2 * kSecond,
-                 kRefillEvery = 1 * kSecond, kCohortSpan = 5 * kSecond, kRefillAge = 5 * kSecond;
+                 kRefillEvery = 1 * kSecond, kCohortSpan = 5 * kSecond;
 // The hot rule of the design.
 constexpr Micros kPeriod = 2 * kSecond, kSettledStart = 10 * kSecond, kFailingHold = 8 * kSecond;
 constexpr double kHotLatency = 2, kHotReports = 3, kStrengthLeast = 0.4, kWeaker = 0.8, kStronger = 0.01,
@@ -168,7 +168,6 @@
     for (auto& [id, s] : servers) {
       weights += s.ready() ? weight(s) : 0;
       allWeight += s.usable() ? weight(s) : 0;
-      ramped += s.usable() ? weight(s) * ramp(s) : 0;
       newcomers += s.ready() && !s.proved;
       left += s.leftAt > 0 && now - s.leftAt < kLeftSpan;
       const double answers = s.sum(now, kHealthMemory, ways);
@@ -201,6 +200,7 @@
       }
       for (auto it = from; it != to; ++it) it->second->part *= (peers - 1) / all;
     }
+    for (const auto& [id, s] : servers) ramped += s.usable() || mayTry(s) ? weight(s) * ramp(s) : 0;
     mean = ramped > 0 ? allHeat / ramped : 0;
   }
 
@@ -318,7 +318,7 @@
     for (auto& [id, s] : servers) {
       const double l = load(s);
       if (s.usable() && l > mean) donors.emplace_back(-l, rng.uniform(), &id);
-      if (s.changedAt == 0 || !(s.usable() || mayTry(s)) || s.startedWithin(now, kRefillAge)) continue;
+      if (s.changedAt == 0 || !(s.usable() || mayTry(s)) || s.startedWithin(now, kTargetAge)) continue;
       if (now - s.gaveAt < kRefillEvery || l >= kRefillBelow * mean || s.pressure > kRelaxed) continue;
       takers.emplace_back(l, rng.uniform(), &id);
     }
@@ -663,7 +663,8 @@
       if (line.weight == 0 && leaving(v) && !v.withdrawn) continue;
       const bool first = line.weight > 0 ? line.server == s.home : open(line.server);
       (first ? home : rest).orders.push_back(a);
-      if (line.weight == 0 && !first) rest.urgency = kMove;
+      if (line.weight > 0 || first || rest.urgency == kEvacuation) continue;
+      rest.urgency = v.ready() && !v.failing ? kEvacuation : kMove;  // one that is back waits for this
     }
     if (bare || left) home.urgency = bare ? kMust : kEvacuation;
     if (!home.orders.empty()) pieces.push_back(std::move(home));
