Refill asks only donors well over the mean while work is not short

Cause: `refill` took from any donor a hair over the mean, as fast in calm as in overload. Change: under no strain a donor stands over the mean by the same band (`kRefillBelow`) as a taker under it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -325,7 +325,7 @@
     std::vector<Mark> takers, donors;
     for (auto& [id, s] : servers) {
       const double l = load(s);
-      if (s.usable() && l > mean) donors.emplace_back(-l, rng.uniform(), &id);
+      if (s.usable() && l * (strained ? 1 : kRefillBelow) > mean) donors.emplace_back(-l, rng.uniform(), &id);
       if (s.changedAt <= settledBy() || !(s.usable() || mayTry(s)) || s.startedWithin(now, kTargetAge))
         continue;
       if (now - s.gaveAt < kRefillEvery || l >= kRefillBelow * mean || s.pressure > kRelaxed) continue;
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -254,17 +254,18 @@
   const auto held = [](Micros latency) {
     Settings settings = plainSettings();
     settings.warmAfter = 40 * kSecond;
-    Scene s(settings, 4);
+    Scene s(settings, 3);
     s.start(24);
     s.run(12 * kSecond);
-    s.tell("s_z", ServerState::Ready, s.now - 500 * kMs);
-    s.latency["s_z"] = latency;
+    for (const char* id : {"s_x", "s_y", "s_z"}) s.tell(id, ServerState::Ready, s.now - 500 * kMs);
+    for (const char* id : {"s_x", "s_y", "s_z"}) s.latency[id] = latency;
     s.run(24 * kSecond);
-    return s.homesAt("s_z");
+    return s.homesAt("s_x") + s.homesAt("s_y") + s.homesAt("s_z");
   };
   const int atEase = held(100 * kMs), pressed = held(400 * kMs);  // of an aim of 800 ms
   EXPECT_GE(atEase, pressed + 1) << pressed;
-  EXPECT_LE(atEase, 4);  // 24 slices, five servers, and no more than it bears when warm
+  EXPECT_GE(atEase, 8);   // six where they are held to the least
+  EXPECT_LE(atEase, 12);  // 24 slices, six servers, and no more than they bear when warm
 }
 
 // Each supervisor decides alone; what all of them together put on a cold server is what counts.
