Refill passes over donors that hold no slice of its own supervisor

Cause, found by reading the change again: a donor known only by its peers' heat put the least slice at 0, so the test that ends a vain search never did; each such pair of servers went through all slices (`refill`), up to takers times donors times slices a turn at size. Change: a donor has heat of own slices. What is ordered stays the same but for the draws that break ties.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -127,8 +127,7 @@
   // is chance, what they say of a cohort, servers that changed at one time or not at all, holds for peers'.
   double heatOn(const Server& s) const { return s.heat + s.part * cohorts[s.cohort]; }
 
-  // Until then a server that changed is filled and has a cohort of its time; without an end slices would go
-  // to and fro all day, as in the long run every server has changed.
+  // What changed by then is filled no more and is one cohort: else slices would go to and fro all day.
   Micros settledBy() const { return std::max<Micros>(0, now - cfg.warmAfter - kLeftSpan); }
 
   Micros settle() const { return cfg.orderDelay + cfg.reportEvery + kReportsLag; }  // until reports show it
@@ -325,7 +324,8 @@
     std::vector<Mark> takers, donors;
     for (auto& [id, s] : servers) {
       const double l = load(s);
-      if (s.usable() && l * (strained ? 1 : kRefillBelow) > mean) donors.emplace_back(-l, rng.uniform(), &id);
+      if (s.usable() && s.heat > 0 && l * (strained ? 1 : kRefillBelow) > mean)
+        donors.emplace_back(-l, rng.uniform(), &id);
       if (s.changedAt <= settledBy() || !(s.usable() || mayTry(s)) || s.startedWithin(now, kTargetAge))
         continue;
       if (now - s.gaveAt < kRefillEvery || l >= kRefillBelow * mean || s.pressure > kRelaxed) continue;
