A lone server that starts with no capacity crashes no supervisor

Observed: a division by zero (SIGFPE) in coolest(), by a test written while the code was read for odd settings. Cause: with a stated start capacity of 0 a server alone in its cohort at its start weighs 0; reckon() divided by the cohort's sum, its load was no number, and near.size() was 0 in rng.next() % near.size(). A clock ahead of ours holds it there for longer. Change: no division where the sum is 0. Test Odd.AServerThatStartsWithNothingIsAServerAllTheSame: ends with SIGFPE without the change, passes with it; both seen.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -197,14 +197,14 @@
     std::stable_sort(alike.begin(), alike.end(), [](auto& a, auto& b) { return a.first < b.first; });
     cohorts.assign(1, 0);
     for (auto from = alike.begin(), to = from; from != alike.end(); from = to) {
-      double all = 0;
+      double all = 0;  // stays so where one that starts with no capacity is alone
       cohorts.push_back(0);
       for (; to != alike.end() && to->first - from->first < kCohortSpan; ++to) {
         to->second->cohort = cohorts.size() - 1;
         cohorts.back() += to->second->heat;
         all += to->second->part;
       }
-      for (auto it = from; it != to; ++it) it->second->part *= (peers - 1) / all;
+      for (auto it = from; it != to && all > 0; ++it) it->second->part *= (peers - 1) / all;
     }
     for (const auto& [id, s] : servers) ramped += s.usable() || mayTry(s) ? weight(s) * ramp(s) : 0;
     mean = ramped > 0 ? allHeat / ramped : 0;
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -1236,6 +1236,23 @@
   EXPECT_EQ(s.tables, before);
 }
 
+// Guards against figures that are none: a server that starts with no capacity at all, alone of its time, and
+// by a clock that is ahead of ours, while nothing else is left.
+TEST(Odd, AServerThatStartsWithNothingIsAServerAllTheSame) {
+  for (const char* fresh : {"s_0", "s_z"}) {
+    Settings settings = plainSettings();
+    settings.startCapacity = 0;
+    settings.slices = 40;  // peers hold as many more
+    Scene s(settings, 2);
+    s.start(8);
+    s.run(12 * kSecond);
+    s.tell(fresh, ServerState::Ready, s.now + kSecond);
+    for (const char* id : {"s_a", "s_b"}) s.tell(id, ServerState::Draining);
+    s.run(6 * kSecond);
+    for (int t = 0; t < 8; ++t) EXPECT_EQ(s.home(t), fresh) << t;
+  }
+}
+
 TEST(Odd, ALongStallWithBunchedReportsMovesNothing) {
   Scene s;
   s.start(8);
