Discovery that drips, trickles or never ends a line is given up and asked again

Observed, on stand-ins that a test plays byte by byte: a watch, a header or a whole list that sends one byte every 20 ms is never given up (20 s and on, with a limit of 150 ms on silence), and the list goes quiet for good; a chunk's length without an end is read without a bound. Cause: the limit is libevent's, on single bytes (begin()); evhttp_read_chunked looks for a line's end in all that came. Change: a limit on each whole line of the watch (3 s) and on a first line or whole list (3 s, doubled up to 12 s while bytes come, so that a list over a slow way is heard at last); bytes ahead of a whole piece are bounded by the bound of one answer. A read watermark was tried for that and dropped: at it libevent spins (60 s in one turn of the loop, seen with a debugger).

--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -2,12 +2,14 @@
 
 #include <event2/http_struct.h>
 
+#include <algorithm>
 #include <new>
 
 namespace peargrade::discovery {
 namespace {
 
 constexpr char kPath[] = "/catalog/members";
+constexpr std::size_t kAhead = 64 << 10;  // beside one whole answer
 
 }  // namespace
 
@@ -17,7 +19,8 @@
       to(owner.address_),
       lines(owner.limits_.line),
       version(owner.version_),
-      connecting(owner.base_, [this] { this->owner.onDialled(*this); }) {}
+      connecting(owner.base_, [this] { this->owner.onDialled(*this); }),
+      whole(owner.base_, [this] { this->owner.onSlow(*this); }) {}
 
 Discovery::Discovery(event_base* base, const net::Address& address, const Names& names,
                      std::int64_t knownVersion, exchange::Exchange& exchange, log::Log& log, Limits limits)
@@ -28,6 +31,7 @@
       exchange_(exchange),
       log_(log),
       limits_(limits),
+      patience_(limits.silence),
       backoff_(limits.redialLeast, limits.redialMost, static_cast<std::uint64_t>(knownVersion)),
       cleaner_(base, [this] { cleanUp(); }),
       redial_(base, [this] {
@@ -89,6 +93,16 @@
   evhttp_connection_set_timeout_tv(call.connection.get(), &silence);
   evhttp_connection_set_max_headers_size(call.connection.get(), 16 << 10);
   evhttp_connection_set_max_body_size(call.connection.get(), static_cast<ev_ssize_t>(limits_.body));
+  // Guards against a length of a chunk, or a line of the trailer, that never ends: libevent reads on for its
+  // end without a bound. A watermark is no way out: at it libevent spins.
+  evbuffer_add_cb(
+      bufferevent_get_input(evhttp_connection_get_bufferevent(call.connection.get())),
+      [](evbuffer* input, const evbuffer_cb_info*, void* c) {
+        Call& call = *static_cast<Call*>(c);
+        if (evbuffer_get_length(input) > call.owner.limits_.body + kAhead)
+          call.owner.finish(call, log::Reason::TooLong, "bytes without an end", true);
+      },
+      &call);
   evhttp_request* request = evhttp_request_new(
       [](evhttp_request* r, void* c) { static_cast<Call*>(c)->owner.onDone(*static_cast<Call*>(c), r); },
       &call);
@@ -108,6 +122,7 @@
   std::string path = kPath;
   if (kind == Kind::Watch) path += "?follow=1" + (whole_ ? "" : "&since=" + std::to_string(version_));
   call.connecting.in(limits_.connect);
+  call.whole.in(patience_);
   if (evhttp_make_request(call.connection.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
     finish(call, log::Reason::Refused, "", true);  // libevent has freed the request
 }
@@ -122,6 +137,14 @@
   finish(call, log::Reason::ConnectTimeout, "", true);
 }
 
+// Guards against a peer that is neither silent nor says anything: the limit of libevent is on single bytes.
+void Discovery::onSlow(Call& call) {
+  if (call.over) return;
+  // A list over a slow way would else never be heard.
+  patience_ = std::min(2 * patience_, limits_.slowest);
+  finish(call, log::Reason::Silent, "no whole line", true);
+}
+
 void Discovery::onChunk(Call& call, evhttp_request* request) {
   evbuffer* body = evhttp_request_get_input_buffer(request);
   if (call.over || evhttp_request_get_response_code(request) != HTTP_OK) {
@@ -135,6 +158,7 @@
     if (size <= 0) break;
     call.lines.add(piece, static_cast<std::size_t>(size));
     while (!call.over && call.lines.next(line)) {
+      call.whole.in(limits_.silence);
       if (!line.empty()) take(call, line);
     }
     if (!call.over && call.lines.tooLong()) finish(call, log::Reason::TooLong, "line of the watch", true);
@@ -158,6 +182,7 @@
       if (!other.over) finish(other, log::Reason::Moved, "to " + call.to.text(), false);
     }
     backoff_.reset();
+    patience_ = limits_.silence;
     whole_ = false;
     call.version = news.version;
     exchange_.listKnown();
@@ -198,6 +223,7 @@
   const bool successor = &call != serving();
   call.over = true;
   call.connecting.cancel();
+  call.whole.cancel();
   log_.ended("discovery", call.to.text(), reason, detail);
   cleaner_.in(0);
   if (!failed || (!successor && serving() != nullptr)) return;  // the successor goes on in its place
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -19,9 +19,10 @@
  public:
   struct Limits {
     // An empty line comes every 2 s, and what discovery has to tell counts as told after 6 s: silence must be
-    // noticed, and the watch be back, within that.
+    // noticed, and the watch be back, within that. Bytes that end no line are silence as well.
     Micros silence = 3000000;
-    Micros connect = 500000;      // a dial; discovery is near
+    Micros slowest = 12000000;  // up to here the limit on a first line or a whole list grows while bytes come
+    Micros connect = 500000;    // a dial; discovery is near
     std::size_t line = 4 << 20;   // one object of the list
     std::size_t body = 16 << 20;  // one answer; a watch that has told so much is opened anew
     Micros redialLeast = 20000, redialMost = 250000;  // of a new address while the old one serves
@@ -54,13 +55,14 @@
     bool over = false;                         // waits only to be cleaned up
     log::Reason error = log::Reason::Refused;  // what libevent says of a call without an answer
     std::unique_ptr<evhttp_connection, ConnectionFree> connection;
-    net::Limit connecting;
+    net::Limit connecting, whole;  // whole: a line of the watch, the answer to a fetch
   };
 
   void want(Kind kind);
   void begin(Kind kind);
   Call* serving();  // the first that is not over
   void onDialled(Call& call);
+  void onSlow(Call& call);
   void onChunk(Call& call, evhttp_request* request);
   void onDone(Call& call, evhttp_request* request);
   void take(Call& call, const std::string& line);
@@ -80,6 +82,7 @@
 
   std::list<Call> calls_;  // the one that serves, and after a move its successor behind it
   bool watchNext_ = false, fetchNext_ = false;  // wanted once the call in hand is over
+  Micros patience_;                             // with the first line of a watch, and with a whole list
   bool whole_ = false;                          // ask for the whole list: what is known here no longer fits
   net::Backoff backoff_;
   net::Timer cleaner_, redial_;
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -3,9 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <random>
 
 #include "standins/discovery.h"
+#include "standins/manual.h"
 #include "support/loop.h"
 
 namespace peargrade::discovery {
@@ -343,6 +346,193 @@
   for (int fd : fill) close(fd);
 }
 
+// ---- Crossings: a peer that stops, drips or ends at any byte ----
+
+const char kHead[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string& bytes) {
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+struct DiscoveryByHand : WithDiscovery {
+  standins::ManualServer hand;
+  std::unique_ptr<standins::ManualPeer> peer;
+
+  void begin(Micros silence, Action what = WatchList{true}) {
+    Discovery::Limits limits;
+    limits.silence = silence;
+    discovery.reset();
+    discovery =
+        std::make_unique<Discovery>(loop.base.get(), hand.address(), names, 0, exchange, *log.log, limits);
+    again(std::move(what));
+  }
+  // Asks, and takes in the connection with the request.
+  void again(Action what = WatchList{true}) {
+    ask(std::move(what));
+    taken();
+  }
+  void taken() {
+    peer.reset();
+    ASSERT_TRUE(until([&] {
+      if (!peer) peer = hand.accept();
+      return peer && peer->read().find("\r\n\r\n") != std::string::npos;
+    }));
+  }
+  bool whole() const { return !lists().empty() && lists().back().mode == ListMode::Full; }
+  // Bytes, one after the other, until a failure is told.
+  bool drip(const std::string& bytes) {
+    Pace pace{20000};
+    return until([&] {
+      if (pace.due()) peer->send(bytes);
+      return failures() == 1;
+    });
+  }
+  std::size_t failures() const {
+    const auto all = lists();
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const ListNews& n) { return n.mode == ListMode::Failed; }));
+  }
+};
+
+// Guards against a peer that is neither silent nor says anything: a byte now and then, and the list goes
+// quiet for good.
+TEST_F(DiscoveryByHand, AWatchThatDripsWithoutAWholeLineIsGivenUp) {
+  begin(150000);
+  peer->send(kHead + chunk(std::string(kList) + "\n"));
+  ASSERT_TRUE(until([&] { return lists().size() == 1; }));
+  ASSERT_TRUE(drip(chunk(" ")));
+  EXPECT_TRUE(log.has("code=silent (no whole line"));
+  again();
+  peer->send(kHead + chunk("\n") + chunk(std::string(kList) + "\n"));
+  ASSERT_TRUE(until([&] { return whole(); })) << "asked for again, it is told";
+}
+
+TEST_F(DiscoveryByHand, EmptyLinesAreWholeLines) {
+  begin(150000);
+  peer->send(kHead + chunk(std::string(kList) + "\n"));
+  const Micros end = net::steadyNow() + 450000;
+  Pace pace{20000};
+  ASSERT_TRUE(until([&] {
+    if (pace.due()) peer->send(chunk("\n"));
+    return net::steadyNow() > end;
+  }));
+  EXPECT_EQ(failures(), 0u);
+}
+
+TEST_F(DiscoveryByHand, AHeaderThatDripsIsGivenUp) {
+  begin(150000);
+  peer->send("HTTP/1.1 200 OK\r\nX-Long: ");
+  ASSERT_TRUE(drip("x"));
+  EXPECT_TRUE(log.has("code=silent")) << log.text;
+}
+
+TEST_F(DiscoveryByHand, AWholeListThatTricklesIsGivenUp) {
+  begin(150000, FetchList{});
+  peer->send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+  ASSERT_TRUE(drip(" "));
+  EXPECT_TRUE(log.has("code=silent")) << log.text;
+}
+
+// Guards against a limit that a list over a slow way could never meet: it grows while bytes come.
+TEST_F(DiscoveryByHand, AListOverASlowWayIsHeardAtALaterTry) {
+  begin(100000);
+  const std::string all = kHead + chunk(std::string(kList) + "\n");
+  for (int tries = 1; tries <= 4; ++tries) {
+    std::size_t sent = 0;
+    const Micros from = net::steadyNow();
+    ASSERT_TRUE(until([&] {
+      // The whole of it within 250 ms, byte by byte.
+      const auto due = static_cast<std::size_t>(net::steadyNow() - from) * all.size() / 250000;
+      for (; sent < std::min(due, all.size()); ++sent) peer->send(all.substr(sent, 1));
+      return failures() == static_cast<std::size_t>(tries) || whole();
+    }));
+    if (whole()) return;
+    again();
+  }
+  ADD_FAILURE() << "given up four times";
+}
+
+// Wherever an answer ends, in order or not: one failure is told, nothing of the half is, and it is asked for
+// again.
+TEST_F(DiscoveryByHand, AnAnswerThatEndsAnywhereIsOneFailureAndIsAskedForAgain) {
+  const std::string line = chunk(std::string(kList) + "\n");
+  const std::pair<const char*, std::string> cuts[] = {
+      {"before a byte", ""},
+      {"in the status line", "HTTP/1.1 2"},
+      {"in a header", "HTTP/1.1 200 OK\r\nTransfer-Enc"},
+      {"after the header", kHead},
+      {"in a chunk's length", kHead + std::string("a")},
+      {"after a chunk's length", kHead + std::string("a5\r\n")},
+      {"in a chunk", kHead + line.substr(0, line.size() / 2)},
+      {"in a line, the chunk whole", kHead + chunk(std::string(kList).substr(0, 50))},
+      {"in order, half told", kHead + chunk(std::string(kList).substr(0, 50)) + "0\r\n\r\n"},
+      {"in order, nothing told", kHead + std::string("0\r\n\r\n")},
+      {"empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+      {"no length at all", "HTTP/1.1 200 OK\r\n\r\n"},
+      {"no HTTP", "* attach 1 a 1 1\r\n"},
+      {"a length that is none", kHead + std::string("zz\r\n")},
+  };
+  begin(3000000);
+  std::size_t failed = 0;
+  for (const auto& [where, bytes] : cuts) {
+    for (const bool broken : {false, true}) {
+      peer->send(bytes);
+      broken ? peer->reset() : peer->close();
+      ++failed;
+      ASSERT_TRUE(until([&] { return failures() == failed; })) << where;
+      EXPECT_EQ(lists().size(), failed) << where << ": nothing else is told";
+      EXPECT_EQ(log.count(" ended code="), failed) << where << ": one line\n" << log.text;
+      again();
+    }
+  }
+  peer->send(kHead + line);
+  ASSERT_TRUE(until([&] { return whole(); }));
+}
+
+// Guards against a chunk's length that never ends: what is read ahead of a whole piece is bounded.
+TEST_F(DiscoveryByHand, BytesWithoutAnEndFillNoMemory) {
+  Discovery::Limits limits;
+  limits.silence = 10000000;
+  limits.body = 256 << 10;
+  limits.line = 256 << 10;
+  discovery =
+      std::make_unique<Discovery>(loop.base.get(), hand.address(), names, 0, exchange, *log.log, limits);
+  again();
+  peer->send(kHead);
+  const std::string piece(64 << 10, '1');
+  ASSERT_TRUE(until([&] { return peer->send(piece), failures() > 0; }));
+  EXPECT_TRUE(log.has("code=too-long (bytes without an end)")) << log.text;
+}
+
+// Guards against a watch and its successor that end in the same turn, in either order: one failure is told.
+TEST_F(DiscoveryByHand, AWatchAndItsSuccessorThatEndTogetherAreOneFailure) {
+  for (const bool successorFirst : {false, true}) {
+    seen.events.clear();
+    standins::ManualServer next;
+    begin(3000000);
+    peer->send(kHead + chunk(std::string(kList) + "\n"));
+    ASSERT_TRUE(until([&] { return lists().size() == 1; }));
+    const auto old = std::move(peer);
+    discovery->moveTo(next.address());
+    std::unique_ptr<standins::ManualPeer> successor;
+    ASSERT_TRUE(until([&] {
+      if (!successor) successor = next.accept();
+      return successor && !successor->read().empty();
+    }));
+    (successorFirst ? successor : old)->reset();
+    (successorFirst ? old : successor)->reset();
+    ASSERT_TRUE(until([&] { return failures() == 1; }));
+    ask(WatchList{true});
+    ASSERT_TRUE(until([&] {
+      successor = next.accept();
+      return successor != nullptr;
+    })) << "what is asked for goes to the new address";
+    EXPECT_EQ(failures(), 1u);
+  }
+}
+
 // What discovery has to tell counts as told after 6 s, heard or not: a silent watch must be noticed, asked
 // for anew and dialled with time left for the orders (the module waits 0.5 s after a first failure,
 // Round.AFailedList...).
--- a/tests/support/loop.h
+++ b/tests/support/loop.h
@@ -33,6 +33,19 @@
   }
 };
 
+// Something that a test does again and again, and not oftener than this.
+struct Pace {
+  const Micros every;
+  Micros next = 0;
+
+  bool due() {
+    const Micros now = net::steadyNow();
+    if (now < next) return false;
+    next = now + every;
+    return true;
+  }
+};
+
 // A bare listener on loopback: what dials it stays in its queue.
 struct Listener {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
