Signals wait until they can be served, and the end finishes what is decided

Observed: SIGTERM, SIGINT or SIGUSR1 amid the configuration ends the process by the signal in place of exit 0 (the configuration held open as a FIFO); SIGUSR1 ends any supervisor without sources; a drain told in the same instant as SIGTERM is never ordered (the process stopped while both come; 10 of 10). Cause: handlers stood from serve() on, SIGHUP alone was held; the loop left with events gathered and no turn for them. Change: src/supervisor/signals: held from the first line of main, taken once all stands, held again to the exit. After SIGTERM one more turn, and what the relay has in hand is waited for, 0.25 s at most (a kill comes 0.7 s after SIGTERM). Tests SignalsDuringTheConfiguration..., Sigusr1EndsNo..., ADrainToldWithSigterm..., AtSigtermTheCallInHand... fail without the change and pass with it; both seen. That a relay which never answers is not waited for long passes on both.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 #include "operator/operator.h"
 #include "sources/front.h"
 #include "supervisor/serve.h"
+#include "supervisor/signals.h"
 #include "version.h"
 
 namespace {
@@ -39,6 +40,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Before anything that could take time; whatever else than a supervisor this turns out to be ends by them.
+  if (argc > 1 && std::string(argv[1]) == "serve") peargrade::supervisor::Signals::hold();
   CLI::App app("peargrade: a traffic director for a fleet of sidecar proxies");
   app.require_subcommand(1);
   app.failure_message(CLI::FailureMessage::help);
@@ -150,7 +153,6 @@
     return it == told.end() ? std::nullopt : std::optional<std::string>(it->second);
   };
   try {
-    if (serve->parsed()) peargrade::supervisor::holdReloads();
     const Config config = peargrade::config::load(path, environment);
     std::optional<peargrade::op::Operator> op;
     if (!operatorPath.empty()) op = peargrade::op::load(operatorPath, &config.names);
--- a/src/supervisor/serve.cpp
+++ b/src/supervisor/serve.cpp
@@ -14,12 +14,14 @@
 #include "relay/relay.h"
 #include "supervisor/clock.h"
 #include "supervisor/reload.h"
+#include "supervisor/signals.h"
 #include "supervisor/supervisor.h"
 
 namespace peargrade::supervisor {
 namespace {
 
 constexpr Micros kReadyAtLast = 1500000;  // heartbeats are answered then whatever does not answer
+constexpr Micros kEndWithin = 250000;     // of SIGTERM; a process that goes on is killed 0.7 s after it
 constexpr int kOwnDescriptors = 48;       // relay, discovery, loop, log and room for those just ended
 constexpr std::size_t kOrderBytes = 512;  // that an order takes while it waits, at most
 
@@ -44,35 +46,13 @@
   return static_cast<int>(std::min<rlim_t>(own.rlim_cur, static_cast<rlim_t>(config.limits.sockets)));
 }
 
-void maskReloads(int how) {
-  sigset_t hangUp;
-  sigemptyset(&hangUp);
-  sigaddset(&hangUp, SIGHUP);
-  sigprocmask(how, &hangUp, nullptr);
-}
-
 }  // namespace
 
-void holdReloads() { maskReloads(SIG_BLOCK); }
-
 int serve(const config::Config& config, const std::function<config::Config()>& loadAgain, log::Log& log,
           const op::Operator* op, const MakeSources& makeSources) {
   std::signal(SIGPIPE, SIG_IGN);
   const Clock clock;
   const net::EventBase base = net::makeBase();
-  bool stopping = false;
-  const auto stop = [](evutil_socket_t, short, void* flag) { *static_cast<bool*>(flag) = true; };
-  const net::EventHandle term(evsignal_new(base.get(), SIGTERM, stop, &stopping));
-  const net::EventHandle interrupt(evsignal_new(base.get(), SIGINT, stop, &stopping));
-  event_add(term.get(), nullptr);
-  event_add(interrupt.get(), nullptr);
-  std::function<void()> reload;
-  const auto hangUp = [](evutil_socket_t, short, void* ask) {
-    (*static_cast<std::function<void()>*>(ask))();
-  };
-  const net::EventHandle hup(evsignal_new(base.get(), SIGHUP, hangUp, &reload));
-  event_add(hup.get(), nullptr);
-
   exchange::Exchange exchange;
   Settings settings = config.settings;
   settings.ordersTold = true;     // by src/relay
@@ -102,11 +82,6 @@
         sources->roster(news, endpoints);
       });
   }
-  const auto tell = [](evutil_socket_t, short, void* front) {
-    static_cast<sources::Front*>(front)->explain();
-  };
-  const net::EventHandle explain(sources ? evsignal_new(base.get(), SIGUSR1, tell, sources.get()) : nullptr);
-  if (explain) event_add(explain.get(), nullptr);
   relay::Relay relay(base.get(), config.relay, config.names, config.settings.slices, config.seed, exchange,
                      log, relayLimits);
   log.info("supervisor") << config.name << " serves at " << config.listen.text() << ", "
@@ -119,23 +94,34 @@
         relay.moveTo(next.relay);
       },
       log);
-  reload = [&newConfig, &sources] {
+  Signals signals(base.get());
+  signals.onReload([&newConfig, &sources] {
     newConfig.ask();
     if (sources) sources->reload();
-  };
-  maskReloads(SIG_UNBLOCK);
+  });
+  if (sources) signals.onExplain([&sources] { sources->explain(); });
 
   net::Timer readyAtLast(base.get(), [&] { exchange.waitedEnough(); });
   readyAtLast.in(kReadyAtLast);
   net::Timer wake(base.get(), [] {});  // ends the wait of the loop; the turn looks for what is due
   exchange.post(config.known);
-  while (!stopping) {
+  while (!signals.stopping()) {
     const Micros now = clock.now();
     supervisor.turn(now);
     log.flush();
     if (const auto next = supervisor.nextTimer()) wake.in(*next - clock.now());
     event_base_loop(base.get(), EVLOOP_ONCE | (exchange.waiting() ? EVLOOP_NONBLOCK : 0));
   }
+  // Guards against orders that are decided and go with the process: those of the last turn are given to the
+  // relay, and what it has in hand is finished, within a bound.
+  log.info("supervisor") << "ending";
+  log.flush();
+  const Micros end = clock.now() + kEndWithin;
+  supervisor.turn(clock.now());
+  while (relay.busy() && clock.now() < end) {
+    wake.in(end - clock.now());
+    event_base_loop(base.get(), EVLOOP_ONCE);
+  }
   const auto& counts = relay.counts();
   log.info("supervisor") << "stopping; relay calls " << counts.calls << " for " << counts.replies
                          << " replies, " << counts.missed << " missed, " << counts.settled
--- a/src/supervisor/serve.h
+++ b/src/supervisor/serve.h
@@ -9,9 +9,6 @@
 
 namespace peargrade::supervisor {
 
-// SIGHUP before a supervisor can act on it would end the process: held back from here on until it can.
-void holdReloads();
-
 // Serves until SIGTERM or SIGINT; returns the exit code. `loadAgain` reads the configuration at SIGHUP.
 // `sources`: makes the front of the sources that an operator's file names; none: discovery is the only one.
 using MakeSources = std::function<std::unique_ptr<sources::Front>(sources::Surroundings)>;
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -105,6 +105,9 @@
       return reset();
     case Fault::Silent:
       return;
+    case Fault::Held:
+      peer->held = "OK " + std::to_string(carryOut(sent)) + "\r\n";
+      return;
     case Fault::Garbage:
       carryOut(sent);
       return peer->stream->send("\x01\x02 what\r\n");
@@ -197,6 +200,10 @@
   raw("* done " + std::to_string(proxy) + " " + std::to_string(mark) + " " + number(lagMs) + "\r\n");
 }
 
+void Relay::answerHeld() {
+  for (Peer& peer : peers_) peer.stream->send(std::exchange(peer.held, ""));
+}
+
 void Relay::breakNews() {
   for (auto peer = peers_.begin(); peer != peers_.end();) {
     const At at = peer++;
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -46,16 +46,18 @@
     BreakBefore,  // resets the connection, nothing is carried out
     BreakAfter,   // carries the call out, then resets the connection
     Silent,       // no answer, nothing is carried out
+    Held,         // carries the call out; its answer waits for answerHeld()
     Garbage,      // carries the call out, the answer cannot be read
     Throttled,
     Invalid,
   };
   std::deque<Fault> faults;  // of the next calls, one each
-  bool lifeSigns = true;     // one a second on its own
-  bool muteNews = false;     // connections stay open and nothing comes
-  void breakNews();          // resets the connections that watch
-  void closeCalls();         // closes the others in order
-  void refuse(bool on);      // stops listening, or listens again
+  void answerHeld();
+  bool lifeSigns = true;  // one a second on its own
+  bool muteNews = false;  // connections stay open and nothing comes
+  void breakNews();       // resets the connections that watch
+  void closeCalls();      // closes the others in order
+  void refuse(bool on);   // stops listening, or listens again
 
   // ---- What was seen ----
   std::vector<std::string> calls;   // the orders of each call that arrived
@@ -69,6 +71,7 @@
   struct Peer {
     std::unique_ptr<net::Stream> stream;
     net::Lines lines{70000};
+    std::string held;  // an answer
     bool watching = false;
   };
   using At = std::list<Peer>::iterator;
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -1,5 +1,7 @@
 // The program as others start it: the command line, a life from the start to SIGTERM, and the example.
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -277,6 +279,131 @@
   EXPECT_FALSE(said(": gone")) << "nothing is taken for gone that is there";
 }
 
+// ---- Signals that come between two lines ----
+
+// A configuration that the program waits for: it opens the file, and what stands there comes when the test
+// writes it. Until then the program is amid its configuration.
+struct HeldConfig {
+  std::string path = testing::TempDir() + "peargrade_" + std::to_string(getpid()) + "_held.json";
+  int fd = -1;
+
+  HeldConfig() { EXPECT_EQ(mkfifo(path.c_str(), 0600), 0); }
+  ~HeldConfig() {
+    if (fd >= 0) close(fd);
+    std::remove(path.c_str());
+  }
+  HeldConfig(const HeldConfig&) = delete;
+  HeldConfig& operator=(const HeldConfig&) = delete;
+  void untilAsked() { fd = open(path.c_str(), O_WRONLY); }  // waits for the program to open it
+  // A reload finds it in an ordinary file.
+  void write(const std::string& text) {
+    std::remove(path.c_str());
+    std::ofstream(path) << text;
+    EXPECT_EQ(::write(fd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    close(std::exchange(fd, -1));
+  }
+};
+
+// Guards against a signal that ends the process before its handler stands.
+TEST_F(Life, SignalsDuringTheConfigurationWaitUntilTheyCanBeServed) {
+  for (const std::vector<int>& signals :
+       {std::vector<int>{SIGTERM}, {SIGINT}, {SIGTERM, SIGTERM}, {SIGHUP, SIGTERM}, {SIGUSR1, SIGTERM}}) {
+    HeldConfig held;
+    Program program({PEARGRADE_PROGRAM, "serve", "-c", held.path});
+    held.untilAsked();
+    for (const int number : signals) program.signal(number);
+    held.write(config());
+    EXPECT_EQ(program.wait(), 0) << signals.front() << ' ' << signals.size() << '\n' << program.output();
+    EXPECT_NE(program.output().find("supervisor: stopping"), std::string::npos) << program.output();
+  }
+}
+
+// A question of the operator's that only some supervisors can answer ends none of them.
+TEST_F(Life, Sigusr1EndsNoSupervisorThatHasNothingToExplain) {
+  const WrittenConfig file(config());
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  program.signal(SIGUSR1);
+  const std::size_t before = prober->received.size();
+  prober->send(R"({"type":"hb"})");
+  ASSERT_TRUE(loop.until([&] { return prober->received.size() > before || program.ended(); }));
+  EXPECT_FALSE(program.ended());
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0) << program.output();
+}
+
+// Guards against orders that are decided and go with the process: a call under way is waited for.
+TEST_F(Life, AtSigtermTheCallInHandIsFinished) {
+  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
+  relay.proxies[0] = {"east", 5, true};
+  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  const WrittenConfig file(config());
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  ASSERT_TRUE(loop.until([&] { return !relay.calls.empty(); })) << "the first rules";
+  const std::size_t before = relay.calls.size();
+  relay.faults = {standins::Relay::Fault::Held};
+  discovery.set("s1", "east", "DRAINING");
+  ASSERT_TRUE(loop.until([&] { return relay.calls.size() > before; })) << program.output();
+  program.signal(SIGTERM);
+  ASSERT_TRUE(loop.until([&] { return program.output().find("supervisor: ending") != std::string::npos; }))
+      << program.output();
+  EXPECT_FALSE(program.ended()) << "it waits for the answer";
+  relay.answerHeld();
+  ASSERT_TRUE(loop.until([&] { return program.ended(); }));
+  EXPECT_EQ(program.wait(), 0);
+  EXPECT_NE(program.output().find(" calls " + std::to_string(relay.calls.size()) + " for "),
+            std::string::npos)
+      << program.output();
+  EXPECT_NE(program.output().find(" 0 missed,"), std::string::npos) << program.output();
+}
+
+// Guards against a drain that is told in the same instant as the end: the process is stopped, both come, and
+// it goes on. What the last turn decides still goes out.
+TEST_F(Life, ADrainToldWithSigtermIsStillOrdered) {
+  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
+  relay.proxies[0] = {"east", 5, true};
+  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  const WrittenConfig file(config());
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  ASSERT_TRUE(loop.until([&] { return relay.slices[0].size() > 1; })) << "its standby stands";
+  program.stop();
+  discovery.set("s1", "east", "DRAINING");
+  for (int turn = 0; turn < 20; ++turn) event_base_loop(loop.base.get(), EVLOOP_NONBLOCK);  // it is written
+  program.signal(SIGTERM);
+  program.signal(SIGCONT);
+  ASSERT_TRUE(loop.until([&] { return program.ended(); }));
+  EXPECT_EQ(program.wait(), 0) << program.output();
+  const auto leads = [](const auto& line) {
+    return line.first != "s1" && std::atof(line.second.c_str()) >= 1;
+  };
+  EXPECT_TRUE(std::any_of(relay.slices[0].begin(), relay.slices[0].end(), leads)) << program.output();
+}
+
+// The same where the relay never answers: the end comes within its bound, long before a kill.
+TEST_F(Life, AtSigtermARelayThatDoesNotAnswerIsNotWaitedForLong) {
+  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
+  relay.proxies[0] = {"east", 5, true};
+  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  const WrittenConfig file(config());
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  ASSERT_TRUE(loop.until([&] { return !relay.calls.empty(); })) << "the first rules";
+  const std::size_t before = relay.calls.size();
+  relay.faults = {standins::Relay::Fault::Silent};
+  discovery.set("s1", "east", "DRAINING");
+  ASSERT_TRUE(loop.until([&] { return relay.calls.size() > before; })) << program.output();
+  for (int k = 0; k < 3; ++k) program.signal(SIGTERM);
+  program.signal(SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return program.ended(); }, 5000000));
+  EXPECT_EQ(program.wait(), 0) << program.output();
+}
+
 TEST_F(Life, AnAddressInUseEndsItWithAMessage) {
   const WrittenConfig file(
       replaced(config(), listen.text(), relay.address().host + ":" + std::to_string(relay.address().port)));
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -61,6 +61,13 @@
     return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
   }
   void signal(int number) { kill(pid_, number); }
+  // Stands still when this returns, until SIGCONT.
+  void stop() {
+    kill(pid_, SIGSTOP);
+    int status = 0;
+    while (waitpid(pid_, &status, WUNTRACED) == pid_ && !WIFSTOPPED(status)) {
+    }
+  }
   long peakMemoryMb() const {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
     for (std::string line; std::getline(in, line);) {
