--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -151,6 +151,21 @@
   EXPECT_EQ(program.wait(), 0);
 }
 
+// The same where both take a dial in and never say a word.
+TEST_F(Life, AnswersSoonThoughRelayAndDiscoveryAreSilent) {
+  relay.muteNews = discovery.mute = true;
+  const WrittenConfig file(config());
+  Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
+  std::unique_ptr<standins::Collector> prober;
+  const Micros from = net::steadyNow();
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  EXPECT_LT(net::steadyNow() - from, 10000000) << "nine in ten within 10 s, by cause";
+  EXPECT_GE(relay.watches, 1);
+  EXPECT_GE(discovery.requests.size(), 1u);
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0) << program.output();
+}
+
 // A supervisor that starts with an old list learns what left meanwhile, and serves the slices that stand
 // there.
 TEST_F(Life, StartsFromAnOutOfDateList) {
