Where cold servers stand no more, those that answer bear the rest, not one that fails

Observed by reading the guard on cold servers again, then by a test: where no usable server stands a slice, evacuate() fell to any listed server, and one that fails looks empty (4 of 24 slices went there). Cause: the guard stood in the same test as 'usable and old enough'. Change: those that stand it, then those that are usable, then any that is listed; the test of both is takes(), which refill shares. Test WhereColdServersStandNoMoreNothingGoesToOneThatFails: fails without the change, passes with it; both seen.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -300,9 +300,8 @@
     std::sort(order.begin(), order.end());
     for (const auto& entry : order) {
       Slice& s = slices[std::get<2>(entry)];
-      ServerId to = coolest(s, [&](const Server& v) {
-        return (v.usable() || mayTry(v)) && !v.startedWithin(now, kTargetAge) && withstands(v, s.heat);
-      });
+      ServerId to = coolest(s, [&](const Server& v) { return takes(v) && withstands(v, s.heat); });
+      if (to.empty()) to = coolest(s, [&](const Server& v) { return takes(v); });
       if (to.empty()) to = coolest(s, [&](const Server& v) { return v.ready(); });
       if (to.empty()) continue;
       move(std::get<2>(entry), to, whyLeave(s));
@@ -316,6 +315,7 @@
     const double most = newcomers > left ? kTrialShare * static_cast<double>(slices.size()) : 1e9;
     return !cfg.probesAllowed && !s.proved && s.ready() && !s.failing && onTrial < most;
   }
+  bool takes(const Server& s) const { return (s.usable() || mayTry(s)) && !s.startedWithin(now, kTargetAge); }
   // Departure: the design leaves a returned server idle until another is hot. One that changed and stands
   // under the mean takes slices, one at a time, from the most loaded, as far as its ramp carries them.
   void refill() {
@@ -326,8 +326,7 @@
       const double l = load(s);
       if (s.usable() && s.heat > 0 && l * (strained ? 1 : kRefillBelow) > mean)
         donors.emplace_back(-l, rng.uniform(), &id);
-      if (s.changedAt <= settledBy() || !(s.usable() || mayTry(s)) || s.startedWithin(now, kTargetAge))
-        continue;
+      if (s.changedAt <= settledBy() || !takes(s)) continue;
       if (now - s.gaveAt < kRefillEvery || l >= kRefillBelow * mean || s.pressure > kRelaxed) continue;
       takers.emplace_back(l, rng.uniform(), &id);
     }
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -333,6 +333,24 @@
   }
 }
 
+// Guards against what a cold server stands as a reason to go where nothing is answered: where none stands any
+// more, those that answer bear the rest, not one that fails and so looks empty.
+TEST(Placement, WhereColdServersStandNoMoreNothingGoesToOneThatFails) {
+  Settings settings = plainSettings();
+  settings.slices = 120;
+  Scene s(settings, 4);
+  s.start(24);
+  s.run(12 * kSecond);
+  s.bad("s_a", 1);
+  s.run(4 * kSecond);
+  ASSERT_EQ(s.homesAt("s_a"), 0);
+  for (const char* id : {"s_x", "s_y"}) s.tell(id, ServerState::Ready, s.now - 3 * kSecond);
+  for (const char* id : {"s_b", "s_c", "s_d"}) s.tell(id, ServerState::Draining);
+  s.run(kSecond);
+  EXPECT_EQ(s.count(" to s_a from"), 0);
+  EXPECT_EQ(s.homesAt("s_x") + s.homesAt("s_y"), 24);
+}
+
 TEST(Placement, WithNoServerLeftTablesStayAsTheyAre) {
   Scene s(plainSettings(), 1);
   s.start(4);
