What a cold server stands is held against the heat that is let in

Cause: withstands() held all that is asked for against what warm servers let in; in overload half is refused, so successors got next to nothing and drained slices were heaped on drowning servers. Change: the heat counts by the share that warm servers let in; a cold one lets in no larger share (admit()). Test UnderStrainWhatIsRefused...: 0 slices without the change, passes with it; both seen.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -59,8 +59,8 @@
   double peers = 1;                             // the whole fleet's heat against that of own slices
   std::vector<double> works, demand;            // by class: of a request; heat of own slices
   Tally fleet;
-  double typical = 0;  // pressure, of usable servers
-  double usual = 0;    // heat that a unit of a warm server's listed weight bears
+  double typical = 0;           // pressure, of usable servers
+  double usual = 0, letIn = 1;  // heat that a unit of a warm server's weight bears; share of heat let in
   bool strained = false, strainedSent = false, rulesSent = false;
   std::vector<double> fleetLevels, fleetSent;  // by class, for all slices; a slice's own may be lower
   std::vector<std::size_t> byWorth;            // classes, least worth per work first
@@ -112,7 +112,7 @@
   // Guards against what is harmless alone: it stands even if each supervisor gives it as much as this one.
   bool withstands(const Server& s, double more) const {
     const double most = kWithstands * cfg.overloadFactor * usual * listedWeight(s) * s.warmth(now, cfg);
-    return !isCold(s) || usual <= 0 || peers * (s.heat + more) <= most;
+    return !isCold(s) || usual <= 0 || letIn * peers * (s.heat + more) <= most;
   }
 
   // Projected heat per unit of usable weight. Peers are taken to send a changed cohort as much more as this
@@ -537,6 +537,7 @@
     const double most = usual * (1 + kUsualRise * static_cast<double>(now - usualAt) / kSecond);
     if (weights > 0) usual = strained && usual > 0 ? std::min(taken / weights, most) : taken / weights;
     usualAt = now;
+    letIn = offered > 0 ? taken / offered : 1;
     strained = 3 * bound > open || warm.badShare() > kStrainedBadShare;
     for (auto& [id, s] : servers) {
       const double density = heatOn(s) / (listedWeight(s) * ramp(s));
@@ -545,7 +546,7 @@
       if (strained && isCold(s) && density > allowed) s.allowance = s.pressedAt = usual;  // for when warm
       s.admitted = allowed > 0 && density > allowed ? std::max(kAdmitLeast, allowed / density) : 1;
       // Nor does a cold server let in a larger share than the warm ones then do.
-      if (strained && isCold(s) && offered > 0) s.admitted = std::min(s.admitted, taken / offered);
+      if (strained && isCold(s)) s.admitted = std::min(s.admitted, letIn);
     }
     setLevels();
   }
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -333,6 +333,22 @@
   }
 }
 
+// Seen on an overloaded day with a deploy: held against all that is asked for, half of it refused, successors
+// got next to nothing, and the warm ones that were left drowned.
+TEST(Placement, UnderStrainWhatIsRefusedIsNotHeldAgainstAColdServer) {
+  Scene s(plainSettings(), 6);
+  s.start(24);
+  s.run(8 * kSecond);
+  for (int i = 0; i < 6; ++i) s.latency[Scene::name(i)] = 900 * kMs;
+  s.run(20 * kSecond);
+  double let = 0;
+  for (int t = 0; t < 24; ++t) let += (s.levels.count({t, 0}) > 0 ? s.levels[{t, 0}] : 1) / 24;
+  ASSERT_LT(let, 0.6);
+  for (const char* id : {"s_x", "s_y", "s_z"}) s.tell(id, ServerState::Ready, s.now - 3 * kSecond);
+  for (int i = 0; i < 3; ++i) s.tell(Scene::name(i), ServerState::Draining);
+  EXPECT_GE(s.homesAt("s_x") + s.homesAt("s_y") + s.homesAt("s_z"), 3);
+}
+
 // Guards against what a cold server stands as a reason to go where nothing is answered: where none stands any
 // more, those that answer bear the rest, not one that fails and so looks empty.
 TEST(Placement, WhereColdServersStandNoMoreNothingGoesToOneThatFails) {
