--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -81,6 +81,12 @@
     text = replaced(text, "127.0.0.1:8500", discovery.address().text());
     return replaced(text, "127.0.0.1:6400", relay.address().text());
   }
+  // Three servers with a slice each, and a proxy.
+  void threeServers() {
+    for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
+    relay.proxies[0] = {"east", 5, true};
+    relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  }
   // Dials until the supervisor listens, and sends a heartbeat.
   bool untilItAnswers(std::unique_ptr<standins::Collector>& prober) {
     return loop.until([&] {
@@ -96,9 +102,7 @@
 // Guards against a site whose settings say that lists are pushed: over HTTP nobody pushes to one that never
 // asked, and such a supervisor never heard of a drain.
 TEST_F(Life, TheListIsWatchedWhereTheSettingsSayThatItIsPushed) {
-  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
-  relay.proxies[0] = {"east", 5, true};
-  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  threeServers();
   const WrittenConfig file(replaced(config(), "\"on_request\"", "\"pushed\""));
   Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
   std::unique_ptr<standins::Collector> prober;
@@ -114,9 +118,7 @@
 }
 
 TEST_F(Life, ServesADrainAndEndsAtSigterm) {
-  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
-  relay.proxies[0] = {"east", 5, true};
-  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  threeServers();
   const WrittenConfig file(config());
   Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
   std::unique_ptr<standins::Collector> prober;
@@ -350,9 +352,7 @@
 
 // Guards against orders that are decided and go with the process: a call under way is waited for.
 TEST_F(Life, AtSigtermTheCallInHandIsFinished) {
-  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
-  relay.proxies[0] = {"east", 5, true};
-  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  threeServers();
   const WrittenConfig file(config());
   Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
   std::unique_ptr<standins::Collector> prober;
@@ -378,9 +378,7 @@
 // Guards against a drain that is told in the same instant as the end: the process is stopped, both come, and
 // it goes on. What the last turn decides still goes out.
 TEST_F(Life, ADrainToldWithSigtermIsStillOrdered) {
-  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
-  relay.proxies[0] = {"east", 5, true};
-  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  threeServers();
   const WrittenConfig file(config());
   Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
   std::unique_ptr<standins::Collector> prober;
@@ -401,9 +399,7 @@
 
 // The same where the relay never answers: the end comes within its bound, long before a kill.
 TEST_F(Life, AtSigtermARelayThatDoesNotAnswerIsNotWaitedForLong) {
-  for (const char* uid : {"s1", "s2", "s3"}) discovery.set(uid, "east", "SERVING");
-  relay.proxies[0] = {"east", 5, true};
-  relay.slices = {{0, {{"s1", "1"}}}, {1, {{"s2", "1"}}}, {2, {{"s3", "1"}}}};
+  threeServers();
   const WrittenConfig file(config());
   Program program({PEARGRADE_PROGRAM, "serve", "-c", file.path});
   std::unique_ptr<standins::Collector> prober;
