Missed orders go anew by urgency and in parts, not as one block that finds no room

At fault: flush() sent what was missed only as a whole and before all else, and the account keeps a message in doubt for up to 24 s where it was never carried out, as nothing behind it could be confirmed.

Change: missed orders put their lines, levels and withdrawals in doubt; what is still wanted is ordered anew by urgency as far as there is room, and the first message after a miss needs no more room than its own.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,8 +48,8 @@
   std::map<ServerId, Server> servers;
   std::map<TableId, Slice> slices;
   Channel channel;
-  std::vector<Action> inHand;  // the last reply's orders, until they are told to be taken
-  bool awaiting = false, held = false, again = false;  // its fate; orders wait for that; they may go now
+  std::vector<Action> inHand;  // the last reply's orders, until it is told what became of them
+  bool awaiting = false, missed = false, held = false, again = false;  // its fate; orders wait, may go now
   bool listFresh = false, subscribed = false, joined = false;  // joined: a proxy did, since the last decision
   Micros bornAt = 0, rollingUntil = 0, askAgainAt = 0, askBackoff = kAskFirst;
   // Of the fleet, reckoned anew for each decision.
@@ -603,8 +603,7 @@
 
   void log(const std::string& line) { out.push_back(Log{line}); }
 
-  // Proxies that a message may go to: of a fleet that joins every supervisor all may be there before their
-  // news are.
+  // Proxies that a message may go to: with slices all of the fleet may be there before their news are.
   double receivers() const {
     return std::max({1.0, channel.proxies(), cfg.slices > 0 ? static_cast<double>(cfg.proxies) : 0.0});
   }
@@ -618,26 +617,26 @@
     return lines / receivers() - head();
   }
 
-  // What must go waits for room for all of it or a good part of a message; the rest for its turn.
+  // What must go waits for room for all or a good part of a message, after a missed one for any: that tells.
   bool mayWrite(Urgency first, double wanted) {
     const double most = kMessageShare[first] * cfg.messagesPerProxyMax;
     if (channel.messagesWithin(now, cfg.messagesSpan) >= most && cfg.messagesPerProxyMax > 0) return false;
     const double whole = cfg.linesWaitingMax * kQueueShare[first] / receivers();
-    if (linesQueued() > 0 && room(first) < std::min(wanted, kGatherShare * whole)) return false;
+    if (linesQueued() > 0 && room(first) < std::min(wanted, missed ? 1 : kGatherShare * whole)) return false;
     return first <= kEvacuation || now - routineAt >= kRoutineEvery;
   }
 
   // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
   // owner's waits until every proxy has confirmed (or has lost its lease) and the writes in hand are done.
   std::vector<Action> handOver(TableId t, Slice& s) {
-    if (!cfg.oneOwner || s.sent == s.want || !inHand.empty()) return {};  // first what was missed
-    if (s.sent.empty())
+    if (!cfg.oneOwner || s.sent == s.want) return {};
+    if (s.sent.empty() || (!s.want.empty() && s.sent.begin()->first == s.want.begin()->first))
       return now >= s.freeAt && s.unsettled.empty() ? s.changedLines(t) : std::vector<Action>{};
     return {SetLine{t, s.sent.begin()->first, 0}};
   }
 
   bool leaving(const Server& s) const { return s.failing || (listFresh && !s.ready()); }
-  bool open(const ServerId& id) const { return !servers.at(id).withdrawn && !leaving(servers.at(id)); }
+  bool open(const ServerId& id) const { return !servers.at(id).shut() && !leaving(servers.at(id)); }
 
   // Departure: what leaves is withdrawn from all tables by one order, once its slices have another line or
   // the grace runs out; its lines are tidied away later and before it is let in again.
@@ -651,8 +650,8 @@
       const bool due = !s.ready() && now + way + kGraceMargin > s.leftAt + cfg.drainGrace;
       const bool stay = cfg.slices > 0 ? uses.stale.count(id) > 0 : s.startedWithin(now, kSettledStart);
       const bool wanted = s.withdrawn ? leave || stay : leave && (due || uses.needed.count(id) == 0);
-      if (wanted != s.withdrawn) orders.insert(orders.begin(), Withdraw{id, wanted});
-      if (wanted && s.withdrawn && s.repeat) orders.push_back(Withdraw{id, true});  // a proxy joined since
+      const bool changes = wanted != s.withdrawn;
+      if (changes || s.repeat) orders.insert(changes ? orders.begin() : orders.end(), Withdraw{id, wanted});
     }
     return orders;
   }
@@ -663,7 +662,7 @@
     Piece home{kMove, -s.heat, t, {}}, rest{kStandby, -s.heat, t, {}};
     bool bare = true, left = s.leftHome;
     for (const auto& [id, w] : s.sent) {
-      bare = bare && (servers.at(id).withdrawn || !servers.at(id).ready());
+      bare = bare && (w == kInDoubt || servers.at(id).shut() || !servers.at(id).ready());
       left = left || (s.want.count(id) == 0 && leaving(servers.at(id)));
     }
     for (const Action& a : s.changedLines(t)) {
@@ -693,32 +692,26 @@
       std::vector<Action> levels;
       bool lower = false;
       for (std::size_t c = 0; c < s.levels.size() && cfg.levelUnit == LevelUnit::Share; ++c) {
-        if (s.levels[c] == s.sentLevels[c]) continue;
+        if (s.levelStands(c)) continue;
         levels.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
-        lower = lower || s.levels[c] < s.sentLevels[c];
+        lower = lower || (s.levels[c] < 1 && s.levels[c] <= s.sentLevels[c]);  // the same: it is in doubt
       }
       const Urgency urgency = lower && isCold(servers[s.home]) ? kEvacuation : kLevel;
       if (!levels.empty()) pieces.push_back({urgency, -s.heat, t, std::move(levels)});
     }
     if (!rulesSent || strained != strainedSent || fleetLevels != fleetSent) {
-      pieces.push_back({kLevel, -allHeat, kAllTables, {}});
+      pieces.push_back({missed ? kEvacuation : kLevel, -allHeat, kAllTables, {}});
       for (std::size_t c = 0; c < cfg.classes.size(); ++c)
         pieces.back().orders.push_back(Admit{kAllTables, 1u << c, fleetLevels[c], secondTry(cfg.classes[c])});
     }
-    const double pulls = static_cast<double>(withdrawals().size() + inHand.size());
+    const double pulls = static_cast<double>(withdrawals().size());
     if (pieces.empty() && pulls == 0) return;
     std::sort(pieces.begin(), pieces.end());
     const Urgency first = pulls > 0 ? kMust : pieces.front().urgency;
     double wanted = pulls;
     for (const Piece& p : pieces) wanted += p.urgency == first ? static_cast<double>(p.orders.size()) : 0;
     if (!mayWrite(first, wanted)) return;
-    // What was missed goes first, as a whole: some of it may be in the channel once already.
-    if (!inHand.empty() && linesQueued() > 0 && static_cast<double>(inHand.size()) > room(kMust)) return;
-    std::vector<Action> orders = std::move(inHand);
-    inHand.clear();
-    for (const Action& order : orders) {  // until now proxies read the old owner in the store
-      if (cfg.oneOwner && std::holds_alternative<SetLine>(order)) note(order);
-    }
+    std::vector<Action> orders;
     const auto put = [&](Urgency urgency, const std::vector<Action>& more) {
       const double lines = static_cast<double>(orders.size() + more.size());
       if (lines > room(urgency) && (!orders.empty() || linesQueued() > 0)) return false;
@@ -739,11 +732,11 @@
     orders.push_back(
         Mark{channel.send(now, lines, receivers(), cfg.linesPerSecond / kSlowChannel), cfg.oneOwner});
     routineAt = now;
+    missed = false;
     out.insert(out.end(), orders.begin(), orders.end());
     if (!cfg.ordersTold) return;
     awaiting = true;
     channel.await();
-    orders.pop_back();  // the mark: the next reply has its own
     inHand = std::move(orders);
   }
 
@@ -818,7 +811,19 @@
     awaiting = false;
     again = held || !e.taken;
     channel.told(now, e.messages, head(), receivers());
-    if (e.taken) inHand.clear();
+    missed = !e.taken;
+    for (const Action& order : inHand) doubt(order);
+    inHand.clear();
+  }
+
+  // What may not have been carried out is ordered anew with all else, by its urgency and as far as there is
+  // room: as a whole it might find none for long. A slice given since has the table that the store tells.
+  void doubt(const Action& order) {
+    if (!missed) return;
+    if (const auto* pull = std::get_if<Withdraw>(&order)) servers[pull->server].repeat = true;
+    rulesSent = rulesSent && (!std::holds_alternative<Admit>(order) || tableOf(order) != kAllTables);
+    const auto it = slices.find(tableOf(order));
+    if (it != slices.end() && it->second.givenAt <= routineAt) it->second.doubt(order);
   }
 
   void on(const OrderApplied& e) {
@@ -847,10 +852,6 @@
 
   void on(const SliceCharge& e) {
     slices.erase(e.slice);
-    // What was missed for it is not repeated: its table is what the store says now.
-    inHand.erase(std::remove_if(inHand.begin(), inHand.end(),
-                                [&](const Action& order) { return tableOf(order) == e.slice; }),
-                 inHand.end());
     if (e.given) slices.emplace(e.slice, Slice(now, cfg.classes.size()));
   }
 
--- a/src/state.h
+++ b/src/state.h
@@ -225,7 +225,7 @@
   bool believed = false;  // dropped from the list, yet taken to be there
   bool proved = false;    // has answered, or held slices when this supervisor met it
   Micros seenAt = 0, probeAt = 0;
-  bool repeat = false;   // a proxy joined that may not know of its withdrawal
+  bool repeat = false;   // whether it is withdrawn must be ordered again: not all proxies may know
   Micros leftAt = 0;     // when it was last found draining or gone
   Micros changedAt = 0;  // when it last started or was taken back, as far as seen; 0: never
 
@@ -307,6 +307,8 @@
     if (!listed && goneIsAdvice) entry.state = before;
     if (seenAt == 0) seenAt = now;
   }
+  // Whether proxies may be unable to send to it for an order of ours.
+  bool shut() const { return withdrawn || repeat; }
   bool ready() const { return (listed || believed) && entry.state == ServerState::Ready; }
   bool usable() const { return ready() && !failing && proved && !withdrawn; }
 };
@@ -321,7 +323,10 @@
   return met;
 }
 
-using Lines = std::map<ServerId, double>;
+using Lines = std::map<ServerId, double>;  // weight by server
+// In place of a weight: the last order for this line may not have been carried out, so that the line may be
+// there or not, with any weight. It equals no wanted weight and is therefore ordered anew.
+constexpr double kInDoubt = -1;
 
 struct Slice {
   Slice() = default;
@@ -340,6 +345,7 @@
   std::vector<double> rates;   // reckoned anew for each decision: requests a second by class
   double heat = 0;
   std::vector<double> levels, sentLevels;  // by class
+  unsigned levelsInDoubt = 0;              // classes, as a sum of 2^k, whose last level may not be in force
   Micros movedAt = 0, givenAt = 0;
   bool leftHome = false;  // off a server that could not keep it, and that is not ordered yet
   // oneOwner: after the old owner's line is ordered away, the proxies that have not yet confirmed.
@@ -370,6 +376,15 @@
     for (std::size_t c = 0; c < levels.size(); ++c) {
       if ((admit.classMask & (1u << c)) != 0) sentLevels[c] = levels[c];
     }
+    levelsInDoubt &= ~admit.classMask;
+  }
+  // Takes an order as perhaps not done: it is ordered anew as far as it is still wanted.
+  void doubt(const Action& order) {
+    if (const auto* line = std::get_if<SetLine>(&order)) sent[line->server] = kInDoubt;
+    if (const auto* admit = std::get_if<Admit>(&order)) levelsInDoubt |= admit->classMask;
+  }
+  bool levelStands(std::size_t c) const {
+    return levels[c] == sentLevels[c] && (levelsInDoubt & (1u << c)) == 0;
   }
 
   // The orders that turn the table as sent into the table as decided: changed lines only.
@@ -433,7 +448,7 @@
     bool covered = false;
     uses.named.insert(s.home);
     for (const auto& [id, w] : s.want) uses.named.insert(id);
-    for (const auto& [id, w] : s.sent) covered = covered || open(id);
+    for (const auto& [id, w] : s.sent) covered = covered || (w != kInDoubt && open(id));
     for (const auto& [id, w] : s.sent) {
       uses.held.insert(id);
       if (!covered) uses.needed.insert(id);
