--- a/tools/netplay/copies.py
+++ b/tools/netplay/copies.py
@@ -10,7 +10,7 @@
 
 def git(root: Path, *words: str) -> str:
     """What a git command prints."""
-    return subprocess.run(["git", "-C", str(root), *words], check=True, capture_output=True, text=True).stdout.strip()
+    return subprocess.run(["git", "-C", str(root), *words], check=True, capture_output=True, text=True).stdout.rstrip()
 
 
 def revision(root: Path) -> str:
@@ -42,15 +42,16 @@
 
 
 def journal_names(root: Path) -> set[str]:
-    """The entries of a journal."""
-    return {entry.name for entry in (root / "journal").glob("*.json")}
+    """The files of a journal: its entries and what they refer to, such as `blobs/NAME`."""
+    return {str(file.relative_to(root / "journal")) for file in (root / "journal").rglob("*") if file.is_file()}
 
 
 def bring_back(copy: Path, root: Path, known: set[str]) -> list[str]:
-    """Brings entries of a copy's journal that are not `known` into the repository's; what lies there is never written over."""
+    """Brings files of a copy's journal that are not `known` into the repository's; what lies there is never written over."""
     fresh = sorted(journal_names(copy) - known)
     for name in fresh:
         target = root / "journal" / name
         if not target.exists():
+            target.parent.mkdir(parents=True, exist_ok=True)
             shutil.copy2(copy / "journal" / name, target)
     return fresh
--- a/tools/netplay/outcome.py
+++ b/tools/netplay/outcome.py
@@ -92,6 +92,17 @@
         return {**play, **flat, "restarts_ready": self.restarts_ready, "failed": self.failed}
 
 
+def from_json(line: dict[str, Any]) -> Outcome:
+    """Reads what `as_json` wrote; what it worked out from the rest is worked out anew."""
+    held = dict(line)
+    play = Play(held["kind"], int(held["seed"]), held["nodes"], held["revision"])
+    breaks = [Break(**told) for told in held["breaks"]]
+    floors = [Floor(floor["of"], floor["name"], floor["served"], floor["least"]) for floor in held["floors"]]
+    plain = {name: held[name] for name in ("not_run", "fault", "gate", "served", "least", "start_s", "restarts_s", "score", "wall_s",
+                                           "journal")}
+    return Outcome(play, breaks=breaks, floors=floors, **plain)
+
+
 DAY_LINE = re.compile(r"^(?P<name>\S+) +G -?[\d.]+ .*served (?P<served>-?[\d.]+) \(gate (?P<least>-?[\d.]+)\)"
                       r".* score (?P<score>-?[\d.]+)(?: +(?P<verdict>.*\S))?\s*$", re.M)
 BROKEN_LINE = re.compile(r"^RULE BROKEN.*?: (?P<rule>[\w-]+), (?P<count>\d+) times, first at (?P<at>[\d.]+) s: (?P<first>.*)$", re.M)
--- a/tools/netplay/runner.py
+++ b/tools/netplay/runner.py
@@ -147,4 +147,8 @@
     for thread in threads:
         while thread.is_alive():
             thread.join(0.5)
-    return [outcomes.get(number) or not_run(play, "the run was stopped before it") for number, play in enumerate(plays)]
+    for number, play in enumerate(plays):
+        if number not in outcomes:
+            outcomes[number] = not_run(play, "the run was stopped before it")
+            report(outcomes[number])
+    return [outcomes[number] for number in range(len(plays))]
--- a/tools/netplay/table.py
+++ b/tools/netplay/table.py
@@ -67,7 +67,16 @@
     return f"{len(listed)} plays: {len(listed) - missing - failed} kept all, {failed} failed, {missing} not run"
 
 
-def table(outcomes: Iterable[Outcome]) -> str:
-    """The whole table, ordered as the plays are given."""
+def by_kind(outcomes: Iterable[Outcome]) -> list[Outcome]:
+    """The outcomes kind by kind in the order in which the kinds first came, then by seed."""
     listed = list(outcomes)
+    place: dict[str, int] = {}
+    for outcome in listed:
+        place.setdefault(outcome.play.kind, len(place))
+    return sorted(listed, key=lambda outcome: (place[outcome.play.kind], outcome.play.seed))
+
+
+def table(outcomes: Iterable[Outcome]) -> str:
+    """The whole table, kind by kind."""
+    listed = by_kind(outcomes)
     return "\n".join([HEAD, *map(row, listed), "", summary(listed), ""])
