--- /dev/null
+++ b/scale/report/arithmetic.py
@@ -0,0 +1,158 @@
+"""The arithmetic of each line of the target list but the failures: from targets and measured figures alone, so that
+another size can be put into scale/targets.json."""
+
+from __future__ import annotations
+
+import math
+
+import rows
+from format import bytes_text, plain, ratio_text, seconds_text, share_text
+from sheet import DAY_S, Sheet, number, rate
+
+NANOSECONDS = 1e9  # of a second
+
+
+def fleet(sheet: Sheet) -> None:
+    """Supervisors, servers and services."""
+    s = sheet.targets.sizes
+    scoped = s.servers_per_service
+    sheet.step("supervisors a service", f"{s.supervisors:g} / {s.services:g}", number(s.supervisors / s.services))
+    sheet.step("servers a service", f"{s.servers:g} / {s.services:g}, rounded up", number(scoped))
+    slices = math.ceil(s.routes / s.supervisors)
+    sheet.step("slices held by a supervisor", f"{s.routes:g} / {s.supervisors:g}, rounded up", number(slices))
+    reports = s.zones * s.servers
+    sheet.step("reports a second to a supervisor, whole fleet", f"{s.zones:g} zones x {s.servers:g}", number(reports))
+    sheet.step("the same of one service", f"{s.zones:g} x {scoped}", number(s.zones * scoped))
+    sheet.step("less by subsetting", f"{s.servers:g} / {scoped}", ratio_text(s.servers / scoped))
+    heard = sheet.figure(rows.REPORTS, rows.FLEET)
+    sheet.measured("bytes a report", f"/ {reports:g}", heard, "bytes_per_s", lambda v: bytes_text(v / reports))
+    every = f"x {s.supervisors:g}"
+    sheet.measured("reports in, all supervisors", every, heard, "bytes_per_s", lambda v: rate(v * s.supervisors))
+    for name, scope in (("whole fleet", rows.FLEET), ("one service", rows.SERVICE)):
+        cpu = sheet.figure("cpu_share", scope)
+        title = f"cores of all supervisors, {name} seen"
+        sheet.measured(title, every, cpu, "share", lambda v: number(v * s.supervisors))
+
+
+def requests(sheet: Sheet) -> None:
+    """Requests a second."""
+    s = sheet.targets.sizes
+    peak = s.requests_per_second
+    for name, count in (("server", s.servers), ("route", s.routes), ("tenant", s.tenants)):
+        sheet.step(f"requests a {name}", f"{peak:g} / {count:g}", f"{number(peak / count)}/s")
+    sheet.step(
+        "requests of the slices of one supervisor", f"{peak:g} / {s.supervisors:g}", f"{number(peak / s.supervisors)}/s"
+    )
+    sheet.step("messages at a supervisor for each request", "reports are sums of a window", "0")
+    pick = sheet.figure("pick_p50_ns", rows.ALL_LINES, "proxy")
+    title = "cores of all proxies together spent on picking"
+    sheet.measured(title, f"x {peak:g}/s", pick, "ns", lambda v: number(v * peak / NANOSECONDS))
+
+
+def routes(sheet: Sheet) -> None:
+    """Routes and tenants."""
+    s, each = sheet.targets.sizes, sheet.targets.assumptions.tenant_entry_bytes
+    sheet.step("routes a service", f"{s.routes:g} / {s.services:g}", number(s.routes / s.services))
+    sheet.step("tenants a service", f"{s.tenants:g} / {s.services:g}", number(s.tenants / s.services))
+    sheet.step("tenants a route", f"{s.tenants:g} / {s.routes:g}", number(s.tenants / s.routes))
+    for name, count, scope in (
+        ("at most", s.servers, rows.ALL_LINES),
+        ("servers of a service", s.servers_per_service, rows.SERVICE_LINES),
+    ):
+        sheet.step(f"table lines at a proxy, {name}", f"{s.routes:g} routes x {count:g}", number(s.routes * count))
+        held = sheet.figure("state_bytes", scope, "proxy")
+        sheet.measured(f"bytes of these, {name}", "reference pick", held, "bytes", bytes_text)
+    sheet.step("all tenants, one entry each", f"{s.tenants:g} x {each:g} B (assumed)", bytes_text(s.tenants * each))
+    sheet.step("tenants of one service", f"/ {s.services:g}", bytes_text(s.tenants * each / s.services))
+
+
+def latency(sheet: Sheet) -> None:
+    """What is added to a request."""
+    budget = sheet.targets.budgets.added_latency_p99_s
+    sheet.step("budget, 99 in 100", "target", seconds_text(budget))
+    sheet.step("added by a supervisor", "not on the path", "0")
+    for name, metric, scope in (
+        ("pick, p99, a line for every server", "pick_p99_ns", rows.ALL_LINES),
+        ("pick, p99, servers of a service", "pick_p99_ns", rows.SERVICE_LINES),
+        ("pick timed one by one, p99, a line for every server", "pick_single_p99_ns", rows.ALL_LINES),
+    ):
+        pick = sheet.figure(metric, scope, "proxy")
+        sheet.measured(name, f"/ {seconds_text(budget)}", pick, "ns", lambda v: share_text(v / NANOSECONDS / budget))
+
+
+def regions(sheet: Sheet) -> None:
+    """Regions and zones."""
+    s, each = sheet.targets.sizes, sheet.targets.assumptions.list_entry_bytes
+    changes = s.servers / s.zones
+    parts = f"/ {s.zones:g}, / {s.regions:g}"
+    sheet.step("zones a region", f"{s.zones:g} / {s.regions:g}", number(s.zones / s.regions))
+    sheet.step(
+        "servers a zone, a region", f"{s.servers:g} {parts}", f"{number(changes)}, {number(s.servers / s.regions)}"
+    )
+    zone, region = math.ceil(s.supervisors / s.zones), math.ceil(s.supervisors / s.regions)
+    sheet.step("supervisors a zone, a region", f"{s.supervisors:g} {parts}, rounded up", f"{zone}, {region}")
+    told = changes * each
+    sheet.step(
+        "list changes when a zone goes, to a supervisor", f"{changes:g} x {each:g} B (assumed)", bytes_text(told)
+    )
+    sheet.step("the same to all supervisors", f"x {s.supervisors:g}", bytes_text(told * s.supervisors))
+
+
+def configuration(sheet: Sheet) -> None:
+    """Changes of configuration."""
+    s, b = sheet.targets.sizes, sheet.targets.budgets
+    changes, within = s.configuration_changes_per_day, b.time_to_force_s
+    sheet.step("time between changes", f"{DAY_S} s / {changes:g}", seconds_text(DAY_S / changes))
+    sheet.step(
+        "changes under way at a time", f"{changes:g} x {within:g} s / {DAY_S} s", number(changes * within / DAY_S)
+    )
+    restarts, usual = changes * s.supervisors, sheet.targets.failures.machines_restarted_per_day
+    sheet.step("restarts a day while each change needs one", f"{changes:g} x {s.supervisors:g}", number(restarts))
+    sheet.step("over the restarts that a day has anyway", f"/ {usual:g}", ratio_text(restarts / usual))
+    sheet.step(
+        "restarts a second to be done in time", f"{s.supervisors:g} / {within:g} s", number(s.supervisors / within)
+    )
+    share = f"{b.bytes_per_s:g} B/s x {DAY_S} s / {changes:g}"
+    sheet.step(
+        "bytes a change may have, if all of the budget goes on it", share, bytes_text(b.bytes_per_s * DAY_S / changes)
+    )
+    tenants = s.tenants * sheet.targets.assumptions.tenant_entry_bytes
+    whole = tenants * changes / DAY_S
+    sheet.step(
+        "all tenants sent whole with each change",
+        f"{bytes_text(tenants)} (assumed) x {changes:g} / {DAY_S} s",
+        rate(whole),
+    )
+    sheet.step("the same over the budget", f"/ {rate(b.bytes_per_s)}", ratio_text(whole / b.bytes_per_s))
+    sheet.step("tenants of one service sent whole with each change", f"/ {s.services:g}", rate(whole / s.services))
+    for name, metric in (
+        ("a change of the list", "time_to_force_worst_s"),
+        ("a reload of addresses", "time_to_reload_worst_s"),
+    ):
+        worst = sheet.figure(metric, rows.SUPERVISORS, "configuration")
+        sheet.measured(f"time until {name} is with every supervisor, worst", "hollow fleet", worst, "s", seconds_text)
+
+
+def control(sheet: Sheet) -> None:
+    """What control may spend."""
+    s, b = sheet.targets.sizes, sheet.targets.budgets
+    each, left = s.supervisors / s.control_machines, s.control_machines - 1
+
+    def machine(count: float) -> str:
+        return (
+            f"{number(count * b.cpu_share)} cores, {bytes_text(count * b.memory_bytes)}, {rate(count * b.bytes_per_s)}"
+        )
+
+    shared = f"{s.supervisors:g} / {s.control_machines:g}"
+    sheet.step("budget of a supervisor", "target", machine(1))
+    sheet.step("supervisors a control machine", f"{shared}, rounded up", plain(math.ceil(each)))
+    sheet.step("budget of a control machine", shared, machine(each))
+    sheet.step("the same with one machine lost", f"{s.supervisors:g} / {left:g}", machine(s.supervisors / left))
+    sheet.step("budget of all supervisors", f"x {s.supervisors:g}", machine(s.supervisors))
+    for name, scope in (("whole fleet", rows.FLEET), ("one service", rows.SERVICE)):
+        cpu, memory = sheet.figure("cpu_share", scope), sheet.figure("resident_bytes", scope)
+        reckoning = f"x {number(each)}"
+        sheet.measured(f"cores of a control machine, {name} seen", reckoning, cpu, "share", lambda v: number(v * each))
+        sheet.measured(
+            f"memory of a control machine, {name} seen", reckoning, memory, "bytes", lambda v: bytes_text(v * each)
+        )
--- /dev/null
+++ b/scale/report/capacity.py
@@ -0,0 +1,51 @@
+#!/usr/bin/env python3
+"""Rewrites the generated tables of docs/CAPACITY.md from scale/targets.json and scale/results/*.jsonl.
+
+With ``--check`` nothing is written: exit code 1 and the names of the tables in which page and results differ.
+What cannot be read (a result, the targets, the page's markers) ends it with exit code 2 and a line that says where.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+import page
+import results
+import tables
+import targets
+
+_ROOT = Path(__file__).resolve().parents[2]
+
+
+def _options(arguments: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description="Rewrites the generated tables of the capacity page.")
+    parser.add_argument("--check", action="store_true", help="write nothing; exit 1 if page and results differ")
+    parser.add_argument("--page", type=Path, default=_ROOT / "docs" / "CAPACITY.md")
+    parser.add_argument("--results", type=Path, default=_ROOT / "scale" / "results", help="folder of *.jsonl")
+    parser.add_argument("--targets", type=Path, default=_ROOT / "scale" / "targets.json")
+    return parser.parse_args(arguments)
+
+
+def run(arguments: list[str]) -> int:
+    """Returns the exit code."""
+    options = _options(arguments)
+    try:
+        text = options.page.read_text(encoding="utf-8")
+        made = tables.all_tables(targets.load(options.targets), results.load(options.results))
+        differing = page.differing(text, made)
+        if options.check:
+            for name in differing:
+                print(f"{options.page}: table '{name}' differs from the results", file=sys.stderr)
+            return 1 if differing else 0
+        options.page.write_text(page.rewrite(text, made), encoding="utf-8")
+        print(f"{options.page}: {len(differing)} of {len(made)} tables rewritten")
+        return 0
+    except (targets.WrongTargets, results.WrongResult, page.WrongPage, OSError) as error:
+        print(f"capacity: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/scale/report/fit.py
@@ -0,0 +1,97 @@
+"""Fits through measured points: least squares by a line, and by a power of x to name growth that is no line.
+
+Source: ordinary least squares; the error of a prediction at x is s * sqrt(1 + 1/n + (x - mean)^2 / Sxx) with
+s = sqrt(SSE / (n - 2)), see any text on simple linear regression (Draper and Smith, Applied Regression Analysis).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import Optional, Sequence
+
+LEAST_SIZES = 3  # distinct x, without which a line has no error that could be told
+_DUST = 1e-9  # of the largest value: what is less is the rounding of a sum, and differs between machines
+
+
+@dataclasses.dataclass(frozen=True)
+class Point:
+    """One repetition: size and figure."""
+
+    x: float
+    y: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LinearFit:
+    """y = intercept + slope * x, with R^2 and the residual standard error in the unit of y."""
+
+    slope: float
+    intercept: float
+    r_squared: float
+    residual_error: float
+    count: int
+    mean_x: float
+    sum_squares_x: float
+
+    def at(self, x: float) -> float:
+        """The line's value."""
+        return self.intercept + self.slope * x
+
+    def error_at(self, x: float) -> float:
+        """The standard error of one new measurement at x."""
+        spread = 1 + 1 / self.count + (x - self.mean_x) ** 2 / self.sum_squares_x
+        return self.residual_error * math.sqrt(spread)
+
+
+@dataclasses.dataclass(frozen=True)
+class PowerFit:
+    """y = factor * x^exponent, fitted in logarithms; the residual error is in the unit of y, as that of a line."""
+
+    factor: float
+    exponent: float
+    residual_error: float
+
+    def at(self, x: float) -> float:
+        """The power's value."""
+        return float(self.factor * x**self.exponent)
+
+
+def _without_dust(value: float, largest: float) -> float:
+    return 0.0 if abs(value) < _DUST * largest else value
+
+
+def _sizes(points: Sequence[Point]) -> int:
+    return len({point.x for point in points})
+
+
+def linear(points: Sequence[Point]) -> Optional[LinearFit]:
+    """The line through the points; None with fewer than LEAST_SIZES distinct sizes."""
+    if _sizes(points) < LEAST_SIZES:
+        return None
+    count = len(points)
+    mean_x = sum(p.x for p in points) / count
+    mean_y = sum(p.y for p in points) / count
+    sum_xx = sum((p.x - mean_x) ** 2 for p in points)
+    sum_xy = sum((p.x - mean_x) * (p.y - mean_y) for p in points)
+    sum_yy = sum((p.y - mean_y) ** 2 for p in points)
+    largest = max(abs(p.y) for p in points)
+    slope = _without_dust(sum_xy / sum_xx * mean_x, largest) / mean_x if mean_x else sum_xy / sum_xx
+    intercept = _without_dust(mean_y - slope * mean_x, largest)
+    squares = sum((p.y - intercept - slope * p.x) ** 2 for p in points)
+    error = _without_dust(math.sqrt(squares / (count - 2)), largest)
+    r_squared = 1 - squares / sum_yy if error > 0 else 1.0
+    return LinearFit(slope, intercept, r_squared, error, count, mean_x, sum_xx)
+
+
+def power(points: Sequence[Point]) -> Optional[PowerFit]:
+    """The power of x through the points; None with too few sizes or where a size or figure is not above 0."""
+    if _sizes(points) < LEAST_SIZES or any(p.x <= 0 or p.y <= 0 for p in points):
+        return None
+    line = linear([Point(math.log(p.x), math.log(p.y)) for p in points])
+    if line is None:
+        return None
+    factor = math.exp(line.intercept)
+    squares = sum((p.y - factor * p.x**line.slope) ** 2 for p in points)
+    error = _without_dust(math.sqrt(squares / (len(points) - 2)), max(p.y for p in points))
+    return PowerFit(factor, line.slope, error)
--- /dev/null
+++ b/scale/report/outages.py
@@ -0,0 +1,94 @@
+"""The arithmetic of failures: ordinary days, and many supervisors that come back at once."""
+
+from __future__ import annotations
+
+import math
+from typing import Callable
+
+import rows
+from format import bytes_text, ratio_text, seconds_text, share_text
+from sheet import BITS, DAY_S, HOUR_S, MINUTE_S, Sheet, number, rate
+
+MEGA = 1e6
+
+
+def failures(sheet: Sheet) -> None:
+    """Ordinary days, in shares of time; the worst case is reckoned with, that all restarts are supervisors'."""
+    f, a, s = sheet.targets.failures, sheet.targets.assumptions, sheet.targets.sizes
+    restarts, failed, within = (
+        f.machines_restarted_per_day,
+        f.machines_failed_per_day,
+        sheet.targets.budgets.time_to_force_s,
+    )
+    sheet.step("time between restarts", f"{DAY_S} s / {restarts:g}", seconds_text(DAY_S / restarts))
+    sheet.step("time between failures", f"{DAY_S} s / {failed:g}", f"{number(DAY_S / failed / HOUR_S)} h")
+    for name, seconds in (
+        ("for each second that a restart takes", 1),
+        ("with the latest readiness after a start", a.supervisor_ready_s),
+        ("with restarts that take the budget of a change", within),
+    ):
+        share = share_text(restarts * seconds / DAY_S)
+        sheet.step(f"time in which some table is late, {name}", f"{restarts:g} x {seconds:g} s / {DAY_S} s", share)
+    touched = s.routes / s.supervisors
+    one = restarts * within / DAY_S * touched / s.routes
+    sheet.step(
+        "time in which one given table is late, the last case",
+        f"x {number(touched)} of {s.routes:g} tables",
+        share_text(one),
+    )
+    listed = failed * a.list_told_s / DAY_S
+    sheet.step(
+        "time in which some failed server is listed still",
+        f"{failed:g} x {a.list_told_s:g} s / {DAY_S} s",
+        share_text(listed),
+    )
+    changes = (restarts + failed) * a.list_changes_per_restart
+    sheet.step(
+        "list changes a day", f"({restarts:g} + {failed:g}) x {a.list_changes_per_restart:g} (assumed)", number(changes)
+    )
+    told = changes * a.list_entry_bytes / DAY_S
+    sheet.step("list changes to one supervisor", f"x {a.list_entry_bytes:g} B (assumed) / {DAY_S} s", rate(told))
+
+
+def reconnect(sheet: Sheet) -> None:
+    """Many watches that come back at once to a discovery that serves calls one after another."""
+    s, within = sheet.targets.sizes, sheet.targets.budgets.time_to_force_s
+    whole, service = sheet.figure("first_list_bytes", rows.FLEET), sheet.figure("first_list_bytes", rows.SERVICE)
+    for name, parts in (
+        ("a control machine", s.control_machines),
+        ("a zone", s.zones),
+        ("a region", s.regions),
+        ("all", 1),
+    ):
+        count = math.ceil(s.supervisors / parts)
+        sheet.measured(f"whole lists, supervisors of {name}", f"x {count}", whole, "bytes", _bytes_of(count))
+    bits = s.supervisors * BITS / within / MEGA
+    title = "way that carries all lists in the budget of a change"
+    sheet.measured(
+        title, f"x {s.supervisors:g} x {BITS} / {within:g} s", whole, "bytes", lambda v: f"{number(v * bits)} Mbit/s"
+    )
+    every = _bytes_of(s.supervisors)
+    sheet.measured("all lists, one service each (if scoped)", f"x {s.supervisors:g}", service, "bytes", every)
+    _resumed(sheet)
+    for name, limit in (
+        ("the first line's limit", sheet.targets.assumptions.first_line_s),
+        ("the bound of a told change", sheet.targets.assumptions.list_told_s),
+        ("the budget of a change", within),
+    ):
+        title = f"time that a call may take, the last of all within {name}"
+        sheet.step(title, f"{limit:g} s / {s.supervisors:g}", seconds_text(limit / s.supervisors))
+
+
+def _resumed(sheet: Sheet) -> None:
+    f, a = sheet.targets.failures, sheet.targets.assumptions
+    missed = f.machines_restarted_per_day * f.region_cut_minutes * MINUTE_S / DAY_S * a.list_changes_per_restart
+    size = missed * a.list_entry_bytes
+    restarts = f"{f.machines_restarted_per_day:g} restarts a day x {a.list_changes_per_restart:g}"
+    sheet.step("list changes missed in a cut", f"{f.region_cut_minutes:g} min of {restarts}", number(missed))
+    sheet.step("bytes of these, resumed by revision", f"x {a.list_entry_bytes:g} B (assumed)", bytes_text(size))
+    whole = sheet.figure("first_list_bytes", rows.FLEET)
+    sheet.measured("whole list over that", f"/ {bytes_text(size)}", whole, "bytes", lambda v: ratio_text(v / size))
+
+
+def _bytes_of(count: float) -> Callable[[float], str]:
+    return lambda value: bytes_text(value * count)
--- /dev/null
+++ b/scale/report/rows.py
@@ -0,0 +1,439 @@
+"""What the capacity page looks at: its rows, the mechanism that carries each, and what is missing.
+
+A row names a metric of the results, the size at which it counts, its budget, the mechanism by its standard name and
+its place in the code ("" is: missing), the mechanism that would mend it if it is red, and the lines of the target
+list that cannot be met while it is red.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Callable, Optional
+
+from targets import Targets
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One line of the target list; ``key`` names the generated arithmetic of its section."""
+
+    key: str
+    title: str
+
+
+LINES = (
+    Line("fleet", "Supervisors, servers, services"),
+    Line("requests", "Requests a second"),
+    Line("routes", "Routes and tenants"),
+    Line("latency", "What is added to a request"),
+    Line("regions", "Regions and zones"),
+    Line("configuration", "Changes of configuration"),
+    Line("control", "What control may spend"),
+    Line("failures", "Failures"),
+)
+
+# Mechanisms that are missing or missing in part, by key: standard name and what it is here.
+REMEDIES = {
+    "configuration": "dynamic configuration: versioned, checked whole, taken over atomically, last known good",
+    "scope": "subsetting: a supervisor holds and hears only the services whose tables it holds",
+    "resumption": "list resumption by revision with jittered reconnects, also after a restart",
+    "reports": "conflation of reports: superseded ones dropped unparsed, or sent only on a change",
+    "tenants": "per-tenant admission (quotas)",
+    "locality": "locality hierarchy: regions above zones",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Mechanism:
+    """What carries a row: standard name and place in the code; no place means missing."""
+
+    name: str
+    place: str = ""
+
+    def text(self) -> str:
+        """As a cell."""
+        return f"{self.name} (`{self.place}`)" if self.place else f"{self.name}: **missing**"
+
+
+@dataclasses.dataclass(frozen=True)
+class Sweep:
+    """A swept variable and its value at the target."""
+
+    variable: str
+    size: Callable[[Targets], float]
+
+
+@dataclasses.dataclass(frozen=True)
+class Scope:
+    """At which size a row counts, in whichever sweep it was measured."""
+
+    name: str
+    sweeps: tuple[Sweep, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Members:
+    """How many members of a row's role add up, where the figure is that of many."""
+
+    count: Callable[[Targets], float]
+    reckoning: Callable[[Targets], str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One row of a role's table."""
+
+    role: str  # whose table
+    kind: str  # state, messages, processor, memory, time
+    quantity: str
+    metrics: tuple[str, ...]  # more than one: their sum
+    scope: Scope
+    mechanism: Mechanism
+    budget: str = ""  # of targets.Budgets; "": none is stated
+    budget_text: str = ""
+    remedy: str = ""  # key of REMEDIES
+    blocks: tuple[str, ...] = ()  # keys of LINES
+    source_role: str = ""  # whose results, if not of the own role
+    members: Optional[Members] = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Gap:
+    """What the code cannot do at all, whatever is measured. Figure and budget are reckoned from the targets."""
+
+    role: str
+    what: str
+    remedy: str
+    blocks: tuple[str, ...]
+    figure: Optional[Callable[[Targets], float]] = None
+    budget: Optional[Callable[[Targets], float]] = None
+    unit: str = ""  # of both, as words behind the number
+
+
+FLEET = Scope("whole fleet (as built)", (Sweep("servers", lambda t: t.sizes.servers),))
+SERVICE = Scope("one service (if scoped)", (Sweep("servers", lambda t: t.sizes.servers_per_service),))
+# A rung of the ladder is a part of the plan in all sizes together; 1 is the plan.
+SUPERVISORS = Scope(
+    "all supervisors", (Sweep("ladder", lambda t: 1), Sweep("supervisors", lambda t: t.sizes.supervisors))
+)
+ALL_LINES = Scope("a line for every server", (Sweep("lines", lambda t: t.sizes.servers),))
+SERVICE_LINES = Scope("a line for each server of a service", (Sweep("lines", lambda t: t.sizes.servers_per_service),))
+
+_DIRECTOR = Mechanism("records by server name, forgotten a minute after the server left", "src/state.h")
+_LIST = Mechanism("list and watch, resumed by revision", "src/discovery/discovery.cpp")
+_NEWS = Mechanism("snapshot, then differences only", "src/relay/newsbook.cpp")
+_ORDERS = Mechanism("incremental updates by urgency, never repeated", "src/rules.cpp")
+_REPORTS = Mechanism("windowed sums aggregated by a collector a zone", "src/clients/messages.cpp")
+_RELOAD = Mechanism("reload on SIGHUP, addresses only", "src/supervisor/reload.cpp")
+_TURNS = Mechanism("batching: one turn of the module for all events", "src/supervisor/supervisor.cpp")
+_BOUNDS = Mechanism("bounded buffers, shares of the memory limit", "src/supervisor/serve.cpp")
+_BACKOFF = Mechanism("exponential backoff with jitter", "src/rules.cpp")
+_PICK = Mechanism("weighted power of two choices; a reference, proxies are the platform's", "bench/pick_bench.cpp")
+
+LIST, NEWS, ORDERS, REPORTS, CONFIGURATION = (
+    "list_in_bytes_per_s",
+    "news_in_bytes_per_s",
+    "orders_out_bytes_per_s",
+    "reports_in_bytes_per_s",
+    "configuration_in_bytes_per_s",
+)
+STREAMS = {"list": LIST, "news": NEWS, "orders": ORDERS, "reports": REPORTS, "configuration": CONFIGURATION}
+SENT = ("list_out_bytes_per_s", ORDERS)  # requests to discovery; calls to the relay
+SENT_AND_RECEIVED = (*SENT, LIST, NEWS, "orders_in_bytes_per_s", REPORTS, CONFIGURATION)
+
+# Sizes that tables name, in their order; a scale test may have more.
+TOLD_SIZES = ("supervisors", "real", "servers", "reported", "services", "routes", "slices", "proxies", "zones", "lines")
+
+
+def _supervisor_rows(scope: Scope) -> tuple[Row, ...]:
+    def messages(quantity: str, metrics: tuple[str, ...], mechanism: Mechanism, remedy: str) -> Row:
+        blocks = ("control",) if scope is SERVICE else ("fleet", "control")
+        return Row("supervisor", "messages", quantity, metrics, scope, mechanism, "bytes_per_s", "", remedy, blocks)
+
+    reports = "reports" if scope is SERVICE else "scope"
+    return (
+        Row("supervisor", "state", "entries held", ("state_entries",), scope, _DIRECTOR),
+        Row("supervisor", "state", "bytes held", ("state_bytes",), scope, _DIRECTOR),
+        messages("list in", (LIST,), _LIST, "scope"),
+        messages("news in", (NEWS,), _NEWS, "scope"),
+        messages("orders out", (ORDERS,), _ORDERS, "scope"),
+        messages("reports in", (REPORTS,), _REPORTS, reports),
+        messages("configuration in", (CONFIGURATION,), _RELOAD, "configuration"),
+        messages("all that it sends", SENT, _ORDERS, "scope"),
+        messages("all that it sends and receives", SENT_AND_RECEIVED, _REPORTS, reports),
+        Row("supervisor", "messages", "first list", ("first_list_bytes",), scope, _LIST),
+        Row(
+            "supervisor",
+            "processor",
+            "share of a core",
+            ("cpu_share",),
+            scope,
+            _TURNS,
+            "cpu_share",
+            "",
+            "scope",
+            ("fleet", "control"),
+        ),
+        Row(
+            "supervisor",
+            "memory",
+            "resident",
+            ("resident_bytes",),
+            scope,
+            _BOUNDS,
+            "memory_bytes",
+            "",
+            "scope",
+            ("fleet", "control"),
+        ),
+    )
+
+
+def _times(what: str, metric: str, mechanism: Mechanism) -> tuple[Row, ...]:
+    return tuple(
+        Row(
+            "configuration",
+            "time",
+            f"{what}, {name}",
+            (f"{metric}_{suffix}_s",),
+            SUPERVISORS,
+            mechanism,
+            "time_to_force_s",
+            "",
+            "configuration",
+            ("configuration",),
+        )
+        for name, suffix in (("99th percentile", "p99"), ("worst", "worst"))
+    )
+
+
+_EVERY_SUPERVISOR = Members(lambda t: t.sizes.supervisors, lambda t: f"x {t.sizes.supervisors:g} supervisors")
+_EVERY_COLLECTOR = Members(
+    lambda t: t.sizes.supervisors / t.sizes.zones,
+    lambda t: f"x {t.sizes.supervisors:g} supervisors / {t.sizes.zones:g} collectors",
+)
+
+ROWS = (
+    *_supervisor_rows(FLEET),
+    *_supervisor_rows(SERVICE),
+    Row(
+        "discovery",
+        "state",
+        "entries held",
+        ("state_entries",),
+        SUPERVISORS,
+        Mechanism("list of the platform", "standins/discovery.cpp"),
+    ),
+    Row(
+        "discovery",
+        "messages",
+        "list out, to all supervisors",
+        (LIST,),
+        FLEET,
+        _LIST,
+        source_role="supervisor",
+        members=_EVERY_SUPERVISOR,
+    ),
+    Row(
+        "discovery",
+        "messages",
+        "first lists out, to all supervisors at once",
+        ("first_list_bytes",),
+        FLEET,
+        _BACKOFF,
+        source_role="supervisor",
+        members=_EVERY_SUPERVISOR,
+    ),
+    Row("discovery", "messages", "calls waiting at the peak", ("peak_calls_waiting",), SUPERVISORS, _BACKOFF),
+    Row(
+        "discovery",
+        "processor",
+        "share of a core",
+        ("cpu_share",),
+        SUPERVISORS,
+        Mechanism("calls served one after another", "standins/discovery.cpp"),
+    ),
+    Row(
+        "discovery",
+        "memory",
+        "resident",
+        ("resident_bytes",),
+        SUPERVISORS,
+        Mechanism("list of the platform", "standins/discovery.cpp"),
+    ),
+    Row(
+        "relay",
+        "state",
+        "entries held",
+        ("state_entries",),
+        SUPERVISORS,
+        Mechanism("store of tables of the platform", "standins/relay.cpp"),
+    ),
+    Row(
+        "relay",
+        "messages",
+        "orders in, from all supervisors",
+        (ORDERS,),
+        FLEET,
+        _ORDERS,
+        source_role="supervisor",
+        members=_EVERY_SUPERVISOR,
+    ),
+    Row(
+        "relay",
+        "messages",
+        "news out, to all supervisors",
+        (NEWS,),
+        FLEET,
+        _NEWS,
+        source_role="supervisor",
+        members=_EVERY_SUPERVISOR,
+    ),
+    Row(
+        "relay",
+        "processor",
+        "share of a core",
+        ("cpu_share",),
+        SUPERVISORS,
+        Mechanism("stop-and-wait: one call of a supervisor at a time", "src/relay/calls.cpp"),
+    ),
+    Row(
+        "relay",
+        "memory",
+        "resident",
+        ("resident_bytes",),
+        SUPERVISORS,
+        Mechanism("store of tables of the platform", "standins/relay.cpp"),
+    ),
+    Row(
+        "collector",
+        "messages",
+        "reports out, whole fleet to every supervisor",
+        (REPORTS,),
+        FLEET,
+        _REPORTS,
+        source_role="supervisor",
+        members=_EVERY_COLLECTOR,
+    ),
+    Row(
+        "collector",
+        "messages",
+        "reports out, one service to each supervisor (if scoped)",
+        (REPORTS,),
+        SERVICE,
+        _REPORTS,
+        source_role="supervisor",
+        members=_EVERY_COLLECTOR,
+    ),
+    Row(
+        "collector",
+        "processor",
+        "share of a core",
+        ("cpu_share",),
+        SUPERVISORS,
+        Mechanism("windowed sums", "standins/collector.cpp"),
+    ),
+    Row(
+        "collector",
+        "memory",
+        "resident",
+        ("resident_bytes",),
+        SUPERVISORS,
+        Mechanism("windowed sums", "standins/collector.cpp"),
+    ),
+    Row("proxy", "state", "table lines held", ("state_entries",), ALL_LINES, _PICK),
+    Row("proxy", "memory", "tables", ("state_bytes",), ALL_LINES, _PICK),
+    Row(
+        "proxy",
+        "processor",
+        "pick, 99th percentile",
+        ("pick_p99_ns",),
+        ALL_LINES,
+        _PICK,
+        "added_latency_p99_s",
+        blocks=("latency",),
+    ),
+    Row("proxy", "processor", "pick, median", ("pick_p50_ns",), ALL_LINES, _PICK),
+    Row(
+        "proxy",
+        "processor",
+        "pick, 99th percentile",
+        ("pick_p99_ns",),
+        SERVICE_LINES,
+        _PICK,
+        "added_latency_p99_s",
+        blocks=("latency",),
+    ),
+    Row(
+        "proxy",
+        "processor",
+        "pick timed one by one, 99th percentile",
+        ("pick_single_p99_ns",),
+        ALL_LINES,
+        _PICK,
+        "added_latency_p99_s",
+        blocks=("latency",),
+    ),
+    *_times("change of the list, with the module of every supervisor", "time_to_force", _LIST),
+    *_times("reload of addresses, with every supervisor", "time_to_reload", _RELOAD),
+    Row(
+        "configuration",
+        "messages",
+        "configuration in, all supervisors",
+        (CONFIGURATION,),
+        FLEET,
+        _RELOAD,
+        source_role="supervisor",
+        members=_EVERY_SUPERVISOR,
+    ),
+)
+
+GAPS = (
+    Gap(
+        "configuration",
+        "a change of `settings` needs a restart of each supervisor",
+        "configuration",
+        ("configuration", "routes", "failures"),
+        lambda t: t.sizes.configuration_changes_per_day * t.sizes.supervisors,
+        lambda t: t.failures.machines_restarted_per_day,
+        "restarts a day",
+    ),
+    Gap("supervisor", "no record of a tenant", "tenants", ("routes",)),
+    Gap("supervisor", "no record of a service: one flat list of servers and of slices", "scope", ("fleet", "control")),
+    Gap("supervisor", "no record of a region: zones stand side by side", "locality", ("regions",)),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class ScenarioBudget:
+    """The budget of a metric wherever a scale test tells it."""
+
+    budget: str  # of targets.Budgets
+    remedy: str  # key of REMEDIES
+    blocks: tuple[str, ...]  # keys of LINES
+    role: str = ""  # "": every role
+
+
+_FORCE = ScenarioBudget("time_to_force_s", "configuration", ("configuration",))
+_PICKED = ScenarioBudget("added_latency_p99_s", "", ("latency",), "proxy")
+_STREAM = ScenarioBudget("bytes_per_s", "scope", ("fleet", "control"), "supervisor")
+
+SCENARIO_BUDGETS = {
+    "time_to_force_p50_s": _FORCE,
+    "time_to_force_p99_s": _FORCE,
+    "time_to_force_worst_s": _FORCE,
+    "time_to_reload_p50_s": _FORCE,
+    "time_to_reload_p99_s": _FORCE,
+    "time_to_reload_worst_s": _FORCE,
+    "cpu_share": ScenarioBudget("cpu_share", "scope", ("fleet", "control"), "supervisor"),
+    "resident_bytes": ScenarioBudget("memory_bytes", "scope", ("fleet", "control"), "supervisor"),
+    "pick_p99_ns": _PICKED,
+    "pick_single_p99_ns": _PICKED,
+    "control_bytes_per_s": _STREAM,
+    **{metric: _STREAM for metric in STREAMS.values()},
+}
+
+# Metrics that are properties of a scale test: they are shown for each size of a sweep, others only by their fit.
+PROPERTY_PREFIXES = ("time_to_", "longest_", "peak_", "without_", "bare_", "stale_")
+# Those that a test beside any sweep shows as well.
+SHOWN = ("cpu_share", "resident_bytes", "control_bytes_per_s", "changes_unknown", "replies_missed", *STREAMS.values())
--- /dev/null
+++ b/tests/scale_report/made.py
@@ -0,0 +1,50 @@
+"""Made data for the tests of scale/report: results and targets that no run gave."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import results
+import targets
+
+ROOT = Path(__file__).resolve().parents[2]
+REVISION = "abcdef0"
+
+
+def line(**changes: Any) -> dict[str, Any]:
+    """A whole result line; ``changes`` replace its fields."""
+    whole: dict[str, Any] = {
+        "revision": REVISION,
+        "machine": {"cores": 8, "memory_mb": 24000},
+        "scenario": "made",
+        "role": "supervisor",
+        "variable": "servers",
+        "value": 375,
+        "repetition": 1,
+        "seed": 7,
+        "seconds": 10,
+        "sizes": {"supervisors": 1, "servers": 375},
+        "metrics": {"cpu_share": 0.01},
+    }
+    return {**whole, **changes}
+
+
+def result(**changes: Any) -> results.Result:
+    """The same, parsed."""
+    return results.parse_line(json.dumps(line(**changes)), "made.jsonl:1")
+
+
+def sweep(metric: str, by_size: dict[float, list[float]], **changes: Any) -> list[results.Result]:
+    """A sweep over servers: the repetitions of one metric at each size."""
+    return [
+        result(value=size, sizes={"servers": size}, repetition=k, metrics={metric: figure}, **changes)
+        for size, figures in by_size.items()
+        for k, figure in enumerate(figures, 1)
+    ]
+
+
+def plan() -> targets.Targets:
+    """The targets as they stand in scale/targets.json."""
+    return targets.load(ROOT / "scale" / "targets.json")
