Capacity page: each target line with its arithmetic, words, failures, roles and red rows

Need: numbers to plan with for the size of the target list; a reader has to see at once what is red and what was not measured. Change: docs/CAPACITY.md maps the target's words to roles, says who is on the path of a request, works out both readings of 'spends 4 KB a second' by stream, has a section with arithmetic for each target line, the failures by role and time, and lists of what is only extrapolated and what is not measured. The generator gains these two lists and a gap: a whole list that drops most servers is obeyed at once.

--- a/scale/report/judge.py
+++ b/scale/report/judge.py
@@ -272,7 +272,7 @@
         return LineStatus(line, Verdict.RED, f"{worst.what} ({worst.role}): {ratio}", unmeasured)
     known = [one for one in own if one.ratio is not None]
     if unmeasured or not known:
-        return LineStatus(line, Verdict.NONE, "", unmeasured)
+        return LineStatus(line, Verdict.NONE, "" if own else "no row bears on it, see its section", unmeasured)
     last = max(known, key=lambda one: one.ratio or 0)
     unsure = any(one.verdict is Verdict.UNSURE for one in known)
     verdict = Verdict.UNSURE if unsure else Verdict.OK
--- a/scale/report/rows.py
+++ b/scale/report/rows.py
@@ -40,6 +40,7 @@
     "reports": "conflation of reports: superseded ones dropped unparsed, or sent only on a change",
     "tenants": "per-tenant admission (quotas)",
     "locality": "locality hierarchy: regions above zones",
+    "panic": "panic threshold: a list that drops many servers at once is doubted",
 }
 
 
@@ -401,6 +402,12 @@
     Gap("supervisor", "no record of a tenant", "tenants", ("routes",)),
     Gap("supervisor", "no record of a service: one flat list of servers and of slices", "scope", ("fleet", "control")),
     Gap("supervisor", "no record of a region: zones stand side by side", "locality", ("regions",)),
+    Gap(
+        "supervisor",
+        "a whole list that drops most servers is obeyed at once, unless the settings hold gone for advice",
+        "panic",
+        ("failures",),
+    ),
 )
 
 
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -8,7 +8,7 @@
 import fit
 import outages
 import rows
-from figures import Measurements, growth, points
+from figures import Basis, Measurements, growth, points
 from format import NOT_MEASURED, bytes_text, plain, quantity, ratio_text, share_text, table, unit_of
 from judge import Judged, Red, ScenarioRow, judge_all, line_status, reds, remedies, scenario_rows
 from results import ROLES, Result
@@ -95,6 +95,27 @@
     return ", ".join(f"{plain(result.sizes[name])} {name}" for name in told)
 
 
+def _extrapolated(judged: Sequence[Judged]) -> str:
+    body = []
+    for one in judged:
+        if one.figure.basis is Basis.EXTRAPOLATED:
+            cells = (one.row.role, one.name, one.figure.text(one.unit), one.figure.note, one.scenario)
+            body.append(cells + (one.verdict.value,))
+    if not body:
+        return "Nothing."
+    return table(("role", "row", "figure", "from", "test", "state"), body)
+
+
+def _not_measured(judged: Sequence[Judged]) -> str:
+    body = []
+    for one in judged:
+        if not one.figure.known:
+            body.append((one.row.role, one.name, one.budget_cell, one.figure.note))
+    if not body:
+        return "Nothing."
+    return table(("role", "row", "budget", "what there is"), body)
+
+
 def _scenarios(found: Sequence[ScenarioRow]) -> str:
     if not found:
         return f"No scale test: {NOT_MEASURED}."
@@ -209,6 +230,8 @@
         "streams": _streams(judged),
         "ranking-rows": _ranking_rows(red),
         "ranking-mechanisms": _ranking_mechanisms(red),
+        "extrapolated": _extrapolated(judged),
+        "not-measured": _not_measured(judged),
         "scenarios": _scenarios(scenarios),
         "fits": _fits(measurements),
         "sources": _sources(measurements),
--- a/scale/report/targets.py
+++ b/scale/report/targets.py
@@ -60,14 +60,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Assumptions:
-    """Figures that no target states: sizes of entries, and bounds that stand in docs/service.md."""
+    """Figures that no target states: sizes of entries, and bounds that stand in docs/service.md. An entry of the list
+    is that of the protocol's page; a restart tells three: draining, deleted, serving."""
 
     tenant_entry_bytes: float
     list_entry_bytes: float
     list_changes_per_restart: float
     supervisor_ready_s: float
     list_told_s: float
-    relay_silence_s: float
     first_line_s: float
 
 
