Capacity page: zones and regions are lost by whole control machines

Need: seven control machines over six zones put two into one zone; a sixth of the supervisors understates what goes with it. Change: the arithmetic of regions and of reconnects counts whole machines (158 supervisors with a zone, 237 with a region), reckoned from the targets; a test holds the counts.

--- a/scale/report/arithmetic.py
+++ b/scale/report/arithmetic.py
@@ -91,6 +91,9 @@
     )
     zone, region = math.ceil(s.supervisors / s.zones), math.ceil(s.supervisors / s.regions)
     sheet.step("supervisors a zone, a region", f"{s.supervisors:g} {parts}, rounded up", f"{zone}, {region}")
+    machines = f"{s.control_machines:g} {parts}, rounded up, x {s.supervisors_per_machine}"
+    lost = f"{s.supervisors_lost_with(s.zones)}, {s.supervisors_lost_with(s.regions)}"
+    sheet.step("the same at most, by whole control machines", machines, lost)
     told = changes * each
     sheet.step(
         "list changes when a zone goes, to a supervisor", f"{changes:g} x {each:g} B (assumed)", bytes_text(told)
@@ -145,7 +148,7 @@
 
     shared = f"{s.supervisors:g} / {s.control_machines:g}"
     sheet.step("budget of a supervisor", "target", machine(1))
-    sheet.step("supervisors a control machine", f"{shared}, rounded up", plain(math.ceil(each)))
+    sheet.step("supervisors a control machine", f"{shared}, rounded up", plain(s.supervisors_per_machine))
     sheet.step("budget of a control machine", shared, machine(each))
     sheet.step("the same with one machine lost", f"{s.supervisors:g} / {left:g}", machine(s.supervisors / left))
     sheet.step("budget of all supervisors", f"x {s.supervisors:g}", machine(s.supervisors))
--- a/scale/report/outages.py
+++ b/scale/report/outages.py
@@ -54,13 +54,12 @@
     """Many watches that come back at once to a discovery that serves calls one after another."""
     s, within = sheet.targets.sizes, sheet.targets.budgets.time_to_force_s
     whole, service = sheet.figure("first_list_bytes", rows.FLEET), sheet.figure("first_list_bytes", rows.SERVICE)
-    for name, parts in (
-        ("a control machine", s.control_machines),
-        ("a zone", s.zones),
-        ("a region", s.regions),
-        ("all", 1),
+    for name, count in (
+        ("a control machine", s.supervisors_per_machine),
+        ("a zone, by whole control machines", s.supervisors_lost_with(s.zones)),
+        ("a region, by whole control machines", s.supervisors_lost_with(s.regions)),
+        ("all", math.ceil(s.supervisors)),
     ):
-        count = math.ceil(s.supervisors / parts)
         sheet.measured(f"whole lists, supervisors of {name}", f"x {count}", whole, "bytes", _bytes_of(count))
     bits = s.supervisors * BITS / within / MEGA
     title = "way that carries all lists in the budget of a change"
--- a/scale/report/targets.py
+++ b/scale/report/targets.py
@@ -37,6 +37,16 @@
         """Servers that a supervisor of one service would have to know, rounded up."""
         return math.ceil(self.servers / self.services)
 
+    @property
+    def supervisors_per_machine(self) -> int:
+        """Supervisors of a control machine, rounded up."""
+        return math.ceil(self.supervisors / self.control_machines)
+
+    def supervisors_lost_with(self, parts: float) -> int:
+        """Supervisors of a zone or region, one of so many, at most: control machines are lost whole."""
+        machines = math.ceil(self.control_machines / parts)
+        return min(math.ceil(self.supervisors), machines * self.supervisors_per_machine)
+
 
 @dataclasses.dataclass(frozen=True)
 class Budgets:
--- a/tests/scale_report/results_test.py
+++ b/tests/scale_report/results_test.py
@@ -83,6 +83,11 @@
         self.assertEqual(made.plan().size("supervisors"), 550)
         self.assertEqual(made.plan().sizes.servers_per_service, 23)
 
+    def test_control_machines_are_lost_whole(self) -> None:
+        sizes = made.plan().sizes
+        self.assertEqual(sizes.supervisors_per_machine, 79)
+        self.assertEqual([sizes.supervisors_lost_with(parts) for parts in (7, 6, 3, 1)], [79, 158, 237, 550])
+
     def test_what_is_wrong_is_named(self) -> None:
         self.refused(lambda t: t["sizes"].pop("zones"), "sizes.zones' is missing")
         self.refused(lambda t: t["sizes"].update(moons=3), "sizes.moons' is not known")
