--- a/scale/report/arithmetic.py
+++ b/scale/report/arithmetic.py
@@ -132,7 +132,7 @@
         ("a change of the list", "time_to_force_worst_s"),
         ("a reload of addresses", "time_to_reload_worst_s"),
     ):
-        worst = sheet.figure(metric, rows.SUPERVISORS, "configuration")
+        worst = sheet.figure(metric, rows.SUPERVISORS)
         sheet.measured(f"time until {name} is with every supervisor, worst", "hollow fleet", worst, "s", seconds_text)
 
 
--- a/scale/report/rows.py
+++ b/scale/report/rows.py
@@ -203,6 +203,7 @@
             "",
             "configuration",
             ("configuration",),
+            source_role="supervisor",
         )
         for name, suffix in (("99th percentile", "p99"), ("worst", "worst"))
     )
@@ -443,4 +444,4 @@
 # Metrics that are properties of a scale test: they are shown for each size of a sweep, others only by their fit.
 PROPERTY_PREFIXES = ("time_to_", "longest_", "peak_", "without_", "bare_", "stale_")
 # Those that a test beside any sweep shows as well.
-SHOWN = ("cpu_share", "resident_bytes", "control_bytes_per_s", "changes_unknown", "replies_missed", *STREAMS.values())
+SHOWN = ("cpu_share", "resident_bytes", "control_bytes_per_s", "changes_unknown", "replies_missed")
