Capacity page: scale tests of the target's size count as measured; a busy fleet; flat metrics apart

Change: rows of all supervisors take scale tests of just the target's size; list, news and orders have rows of a busy fleet, at an assumed number of proxies; rates have their unit; metrics whose means lie within a tenth stand in a table of their own; a power is named only where it is not about 1.

--- a/scale/report/figures.py
+++ b/scale/report/figures.py
@@ -5,14 +5,14 @@
 import dataclasses
 import enum
 import math
-from typing import Iterable, NamedTuple, Optional, Sequence
+from typing import Iterable, Mapping, NamedTuple, Optional, Sequence
 
 import fit
 from format import NOT_MEASURED, plain, quantity
 from results import Result, WrongResult
 
-_BESIDE = ("supervisors", "servers", "routes", "proxies")  # sizes that a note names, but for the swept one
-_STEEPER = 1.1  # a power from here on is growth faster than a line, if it also fits better
+_BESIDE = ("supervisors", "servers", "reported", "routes", "proxies")  # sizes that a note names, but for the swept one
+_ABOUT_ONE = 0.1  # a power this near to 1 is a line
 
 
 class Basis(enum.Enum):
@@ -99,8 +99,13 @@
     """How a metric grows: by a line, or by the power that fits better."""
     if power is None:
         return "line"
-    better = power.residual_error < line.residual_error
-    return f"x^{power.exponent:.2f} fits better" if better else f"line (power: x^{power.exponent:.2f})"
+    if _better(line, power):
+        return f"x^{power.exponent:.2f} fits better"
+    return f"line (power: x^{power.exponent:.2f})"
+
+
+def _better(line: fit.LinearFit, power: fit.PowerFit) -> bool:
+    return power.residual_error < line.residual_error and abs(power.exponent - 1) > _ABOUT_ONE
 
 
 def at_size(measured: Sequence[fit.Point], size: float, variable: str, unit: str) -> Figure:
@@ -124,7 +129,7 @@
         f"+/- {quantity(error, unit)})"
     )
     power = fit.power(measured)
-    if power is not None and power.residual_error < line.residual_error and power.exponent > _STEEPER:
+    if power is not None and _better(line, power) and power.exponent > 1:
         note += f"; x^{power.exponent:.2f} fits better and gives {quantity(power.at(size), unit)}"
     basis = Basis.INTERPOLATED if inside else Basis.EXTRAPOLATED
     return Figure(basis, note, value, max(0.0, value - error), value + error)
@@ -180,6 +185,18 @@
                 found.append((scenario, dataclasses.replace(figure, note=figure.note + _beside(lines[0]))))
         return found
 
+    def at_plan(self, role: str, metric: str, sizes: Mapping[str, float], unit: str) -> list[tuple[str, Figure]]:
+        """By scenario the figure of scale tests beside any sweep that were run at just these sizes."""
+        found = []
+        for scenario, lines in self.latest(role, "").items():
+            alike = [line for line in lines if all(line.sizes.get(name) == size for name, size in sizes.items())]
+            values = [line.metrics[metric] for line in alike if metric in line.metrics]
+            if values:
+                mean = sum(values) / len(values)
+                note = spread(values, unit) + _beside(alike[0])
+                found.append((scenario, Figure(Basis.MEASURED, note, mean, min(values), max(values))))
+        return found
+
     def figure(self, role: str, metric: str, variable: str, size: float, unit: str) -> Figure:
         """The worst figure of all scenarios, or one that says not measured."""
         found = [figure for _, figure in self.figures(role, metric, variable, size, unit)]
--- a/scale/report/fit.py
+++ b/scale/report/fit.py
@@ -11,6 +11,7 @@
 from typing import Optional, Sequence
 
 LEAST_SIZES = 3  # distinct x, without which a line has no error that could be told
+_FLAT = 0.1  # of the greatest mean
 _DUST = 1e-9  # of the largest value: what is less is the rounding of a sum, and differs between machines
 
 
@@ -61,6 +62,22 @@
     return 0.0 if abs(value) < _DUST * largest else value
 
 
+def means(points: Sequence[Point]) -> dict[float, float]:
+    """The mean at each size, by size."""
+    sizes = sorted({point.x for point in points})
+    return {x: _mean([point.y for point in points if point.x == x]) for x in sizes}
+
+
+def _mean(values: Sequence[float]) -> float:
+    return sum(values) / len(values)
+
+
+def flat(points: Sequence[Point]) -> bool:
+    """Whether the means of all sizes lie within a tenth of the greatest: then no growth can be told."""
+    found = means(points).values()
+    return max(found) - min(found) <= _FLAT * max(found)
+
+
 def _sizes(points: Sequence[Point]) -> int:
     return len({point.x for point in points})
 
--- a/scale/report/format.py
+++ b/scale/report/format.py
@@ -7,7 +7,7 @@
 
 NOT_MEASURED = "not measured"
 _LEAST_RATIO = 0.001  # smaller ones are shown as less than this
-_SUFFIXES = ("_bytes_per_s", "_bytes", "_share", "_ns", "_s")
+_SUFFIXES = ("_bytes_per_s", "_bytes", "_share", "_ns", "_per_s", "_s")
 
 
 def unit_of(metric: str) -> str:
@@ -57,6 +57,8 @@
         return bytes_text(value)
     if unit == "bytes_per_s":
         return f"{bytes_text(value)}/s"
+    if unit == "per_s":
+        return f"{quantity(value, '')}/s"
     if unit == "share":
         return share_text(value)
     if unit == "s":
--- a/scale/report/judge.py
+++ b/scale/report/judge.py
@@ -88,6 +88,9 @@
             found += measurements.figures(role, row.metrics[0], sweep.variable, size, unit)
         else:
             found += _sums(measurements, role, row.metrics, sweep.variable, size, unit)
+    if row.scope.planned and len(row.metrics) == 1:
+        sizes = {name: targets.size(name) for name in row.scope.planned}
+        found += measurements.at_plan(role, row.metrics[0], sizes, unit)
     known = [(scenario, figure) for scenario, figure in found if figure.known]
     return known or found[:1]
 
@@ -156,6 +159,10 @@
     return metric.startswith(PROPERTY_PREFIXES) or (not result.variable and metric in SHOWN)
 
 
+def _idle(result: Result, values: Sequence[float]) -> bool:
+    return bool(result.variable) and not any(values)
+
+
 def scenario_rows(measurements: Measurements, targets: Targets) -> list[ScenarioRow]:
     """The properties of all scale tests, in the order of the results."""
     groups: dict[tuple[object, ...], list[Result]] = {}
@@ -167,7 +174,7 @@
         first = lines[0]
         for metric in dict.fromkeys(metric for line in lines for metric in line.metrics):
             values = [line.metrics[metric] for line in lines if metric in line.metrics]
-            if not _shown(first, metric):
+            if not _shown(first, metric) or _idle(first, values):
                 continue
             note = spread(values, unit_of(metric))
             figure = Figure(Basis.MEASURED, note, sum(values) / len(values), min(values), max(values))
--- a/scale/report/results.py
+++ b/scale/report/results.py
@@ -16,6 +16,7 @@
 
 ROLES = ("supervisor", "discovery", "relay", "collector", "proxy", "configuration")
 _NAME = re.compile(r"[a-z][a-z0-9_]*\Z")
+_VARIABLE = re.compile(r"[a-z][a-z0-9_-]*\Z")
 _SCENARIO = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.,+/ -]*\Z")  # stands in a cell of a table
 _REVISION = re.compile(r"[0-9a-f]{7,40}(-dirty)?\Z")
 
@@ -114,7 +115,7 @@
         raise line.wrong("machine", "cores and memory_mb")
     variable = values["variable"]
     if variable != "":
-        line.text("variable", _NAME, "a lower-case name or nothing")
+        line.text("variable", _VARIABLE, "a lower-case name or nothing")
     result = Result(
         where,
         line.text("revision", _REVISION, "the short hash of a commit"),
--- a/scale/report/rows.py
+++ b/scale/report/rows.py
@@ -70,6 +70,7 @@
 
     name: str
     sweeps: tuple[Sweep, ...]
+    planned: tuple[str, ...] = ()  # sizes that make a scale test beside any sweep one of the target's size
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,8 +116,11 @@
 SERVICE = Scope("one service (if scoped)", (Sweep("servers", lambda t: t.sizes.servers_per_service),))
 # A rung of the ladder is a part of the plan in all sizes together; 1 is the plan.
 SUPERVISORS = Scope(
-    "all supervisors", (Sweep("ladder", lambda t: 1), Sweep("supervisors", lambda t: t.sizes.supervisors))
+    "all supervisors",
+    (Sweep("ladder", lambda t: 1), Sweep("supervisors", lambda t: t.sizes.supervisors)),
+    ("supervisors", "servers"),
 )
+BUSY = Scope("busy fleet, proxies as assumed", (Sweep("proxies", lambda t: t.assumptions.proxies),))
 ALL_LINES = Scope("a line for every server", (Sweep("lines", lambda t: t.sizes.servers),))
 SERVICE_LINES = Scope("a line for each server of a service", (Sweep("lines", lambda t: t.sizes.servers_per_service),))
 
@@ -215,9 +219,23 @@
     lambda t: f"x {t.sizes.supervisors:g} supervisors / {t.sizes.zones:g} collectors",
 )
 
+
+def _busy_rows() -> tuple[Row, ...]:
+    return tuple(
+        Row("supervisor", "messages", name, metrics, BUSY, mechanism, "bytes_per_s", "", "scope", ("control",))
+        for name, metrics, mechanism in (
+            ("list in", (LIST,), _LIST),
+            ("news in", (NEWS,), _NEWS),
+            ("orders out", (ORDERS,), _ORDERS),
+            ("all that it sends", SENT, _ORDERS),
+        )
+    )
+
+
 ROWS = (
     *_supervisor_rows(FLEET),
     *_supervisor_rows(SERVICE),
+    *_busy_rows(),
     Row(
         "discovery",
         "state",
@@ -442,6 +460,13 @@
 }
 
 # Metrics that are properties of a scale test: they are shown for each size of a sweep, others only by their fit.
-PROPERTY_PREFIXES = ("time_to_", "longest_", "peak_", "without_", "bare_", "stale_")
+PROPERTY_PREFIXES = ("time_to_", "longest_", "peak_", "bare_", "stale_")
 # Those that a test beside any sweep shows as well.
-SHOWN = ("cpu_share", "resident_bytes", "control_bytes_per_s", "changes_unknown", "replies_missed")
+SHOWN = (
+    "cpu_share",
+    "resident_bytes",
+    "control_bytes_per_s",
+    "changes_unknown",
+    "replies_missed",
+    "without_list_at_start_s",
+)
--- a/scale/report/sheet.py
+++ b/scale/report/sheet.py
@@ -50,6 +50,9 @@
             self.measurements.figure(role, metric, sweep.variable, sweep.size(self.targets), unit)
             for sweep in scope.sweeps
         ]
+        if scope.planned:
+            sizes = {name: self.targets.size(name) for name in scope.planned}
+            found += [figure for _, figure in self.measurements.at_plan(role, metric, sizes, unit)]
         known = [figure for figure in found if figure.known]
         return max(known, key=lambda figure: figure.value) if known else found[0]
 
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Sequence
+from typing import NamedTuple, Sequence
 
 import arithmetic
 import fit
 import outages
 import rows
-from figures import Basis, Measurements, growth, points
+from figures import Basis, Measurements, Series, growth, points
 from format import NOT_MEASURED, bytes_text, plain, quantity, ratio_text, share_text, table, unit_of
 from judge import Judged, Red, ScenarioRow, judge_all, line_status, reds, remedies, scenario_rows
 from results import ROLES, Result
@@ -132,38 +132,63 @@
 
 
 def _means(measured: Sequence[fit.Point], unit: str) -> str:
-    cells = []
-    for size in sorted({point.x for point in measured}):
-        there = [point.y for point in measured if point.x == size]
-        cells.append(f"{plain(size)}: {quantity(sum(there) / len(there), unit)}")
-    return "; ".join(cells)
+    return "; ".join(f"{plain(x)}: {quantity(y, unit)}" for x, y in fit.means(measured).items())
 
 
-def _fits(measurements: Measurements) -> str:
-    body = []
+class _Swept(NamedTuple):
+    """A metric of a sweep of at least three sizes."""
+
+    series: Series
+    metric: str
+    points: list[fit.Point]
+    line: fit.LinearFit
+
+
+def _swept(measurements: Measurements) -> list[_Swept]:
+    found = []
     for series, lines in measurements.series.items():
         for metric in dict.fromkeys(metric for line in lines for metric in line.metrics):
             measured = points(lines, metric)
             line = fit.linear(measured) if series.variable else None
-            if line is None:
-                continue
-            unit = unit_of(metric)
-            body.append(
-                (
-                    series.scenario,
-                    series.revision,
-                    series.role,
-                    f"`{metric}`",
-                    series.variable,
-                    _means(measured, unit),
-                    str(line.count),
-                    quantity(line.intercept, unit),
-                    quantity(line.slope, unit),
-                    f"{line.r_squared:.3f}",
-                    quantity(line.residual_error, unit),
-                    growth(line, fit.power(measured)),
-                )
+            if line is not None:
+                found.append(_Swept(series, metric, measured, line))
+    return found
+
+
+def _flat(measurements: Measurements) -> str:
+    cells: dict[Series, list[str]] = {}
+    for one in _swept(measurements):
+        if fit.flat(one.points):
+            mean = sum(point.y for point in one.points) / len(one.points)
+            cells.setdefault(one.series, []).append(f"`{one.metric}` {quantity(mean, unit_of(one.metric))}")
+    if not cells:
+        return "Nothing."
+    body = [(s.scenario, s.revision, s.role, s.variable, ", ".join(told)) for s, told in cells.items()]
+    return table(("test", "revision", "role", "over", "metrics, with their mean"), body)
+
+
+def _fits(measurements: Measurements) -> str:
+    body = []
+    for series, metric, measured, line in _swept(measurements):
+        if fit.flat(measured):
+            continue
+        unit = unit_of(metric)
+        body.append(
+            (
+                series.scenario,
+                series.revision,
+                series.role,
+                f"`{metric}`",
+                series.variable,
+                _means(measured, unit),
+                str(line.count),
+                quantity(line.intercept, unit),
+                quantity(line.slope, unit),
+                f"{line.r_squared:.3f}",
+                quantity(line.residual_error, unit),
+                growth(line, fit.power(measured)),
             )
+        )
     if not body:
         return f"No fit: {NOT_MEASURED}."
     head = ("test", "revision", "role", "metric", "over", "means measured", "n", "at 0") + (
@@ -234,6 +259,7 @@
         "not-measured": _not_measured(judged),
         "scenarios": _scenarios(scenarios),
         "fits": _fits(measurements),
+        "flat": _flat(measurements),
         "sources": _sources(measurements),
     }
     for role in ROLES:
--- a/tests/scale_report/fit_test.py
+++ b/tests/scale_report/fit_test.py
@@ -3,7 +3,7 @@
 import math
 import unittest
 
-from fit import Point, linear, power
+from fit import Point, flat, linear, power
 
 
 class LinearFits(unittest.TestCase):
@@ -45,6 +45,13 @@
         self.assertEqual((level.slope, level.residual_error, level.r_squared), (0, 0, 1))
 
 
+class Growth(unittest.TestCase):
+    def test_means_within_a_tenth_are_flat_whatever_single_runs_say(self) -> None:
+        self.assertTrue(flat([Point(1, 90), Point(1, 110), Point(2, 95), Point(3, 104)]))
+        self.assertTrue(flat([Point(1, 0), Point(2, 0)]))
+        self.assertFalse(flat([Point(1, 100), Point(2, 100), Point(3, 112)]))
+
+
 class PowerFits(unittest.TestCase):
     def test_a_square_is_named(self) -> None:
         found = power([Point(x, 4 * x**2) for x in (1, 2, 4, 8)])
--- a/tests/scale_report/judge_test.py
+++ b/tests/scale_report/judge_test.py
@@ -4,8 +4,8 @@
 
 import made
 from figures import Basis, Figure, Measurements, at_size, points
-from format import quantity, ratio_text
-from judge import Verdict, judge, judge_all, line_status, reds, remedies, scenario_rows
+from format import quantity, ratio_text, unit_of
+from judge import Verdict, judge, judge_all, judge_row, line_status, reds, remedies, scenario_rows
 from results import WrongResult
 from rows import GAPS, LINES, REMEDIES, ROWS
 
@@ -56,6 +56,15 @@
         both = made.sweep(CPU, {1500: [0.09]}) + made.sweep(CPU, {1500: [0.01]}, scenario="quiet")
         self.assertAlmostEqual(Measurements(both).figure("supervisor", CPU, "servers", 1500, "share").value, 0.09)
 
+    def test_a_scale_test_of_the_targets_size_is_measured_there(self) -> None:
+        plan = made.plan()
+        whole = {"supervisors": plan.sizes.supervisors, "servers": plan.sizes.servers}
+        at_size = made.result(variable="", value=0, sizes=whole, metrics={"time_to_force_worst_s": 3})
+        small = made.result(variable="", value=0, sizes={**whole, "servers": 48}, metrics={"time_to_force_worst_s": 9})
+        rows = [row for row in ROWS if row.metrics == ("time_to_force_worst_s",)]
+        found = judge_row(rows[0], Measurements([at_size, small]), plan)
+        self.assertEqual([(one.figure.value, one.figure.basis) for one in found], [(3, Basis.MEASURED)])
+
     def test_a_series_of_lines_with_other_sizes_is_refused(self) -> None:
         few = made.result(sizes={"servers": 375, "proxies": 10})
         many = made.result(sizes={"servers": 375, "proxies": 300})
@@ -166,6 +175,10 @@
         self.assertEqual(quantity(1050000, ""), "1,050,000")
         self.assertEqual(quantity(0, "bytes"), "0 B")
         self.assertEqual(quantity(17, "s"), "17 s")
+        self.assertEqual(
+            [unit_of(name) for name in ("a_bytes_per_s", "events_per_s", "took_s")], ["bytes_per_s", "per_s", "s"]
+        )
+        self.assertEqual(quantity(140.2, "per_s"), "140/s")
         self.assertEqual(ratio_text(2138.9), "2,100x")
         self.assertEqual(ratio_text(0.0000864), "<0.001x")
 
