--- a/scale/report/rows.py
+++ b/scale/report/rows.py
@@ -35,9 +35,10 @@
 # Mechanisms that are missing or missing in part, by key: standard name and what it is here.
 REMEDIES = {
     "configuration": "dynamic configuration: versioned, checked whole, taken over atomically, last known good",
-    "scope": "subsetting: a supervisor holds and hears only the services whose tables it holds",
-    "resumption": "list resumption by revision with jittered reconnects, also after a restart",
-    "reports": "conflation of reports: superseded ones dropped unparsed, or sent only on a change",
+    "scope": "subsetting: a supervisor holds and weighs only services whose tables it holds, drops the rest unparsed",
+    "source": "subsetting at the source: it is sent its services only (collectors, discovery: the platform's)",
+    "conflation": "conflation at the source: reports on a change, or less often (collectors: the platform's)",
+    "acknowledgements": "cumulative acknowledgements: confirmations summed up for many proxies (relay: the platform's)",
     "tenants": "per-tenant admission (quotas)",
     "locality": "locality hierarchy: regions above zones",
     "panic": "panic threshold: a list that drops many servers at once is doubted",
@@ -155,12 +156,12 @@
         blocks = ("control",) if scope is SERVICE else ("fleet", "control")
         return Row("supervisor", "messages", quantity, metrics, scope, mechanism, "bytes_per_s", "", remedy, blocks)
 
-    reports = "reports" if scope is SERVICE else "scope"
+    reports = "conflation" if scope is SERVICE else "source"
     return (
         Row("supervisor", "state", "entries held", ("state_entries",), scope, _DIRECTOR),
         Row("supervisor", "state", "bytes held", ("state_bytes",), scope, _DIRECTOR),
-        messages("list in", (LIST,), _LIST, "scope"),
-        messages("news in", (NEWS,), _NEWS, "scope"),
+        messages("list in", (LIST,), _LIST, "source"),
+        messages("news in", (NEWS,), _NEWS, "acknowledgements"),
         messages("orders out", (ORDERS,), _ORDERS, "scope"),
         messages("reports in", (REPORTS,), _REPORTS, reports),
         messages("configuration in", (CONFIGURATION,), _RELOAD, "configuration"),
@@ -218,151 +219,64 @@
     lambda t: t.sizes.supervisors / t.sizes.zones,
     lambda t: f"x {t.sizes.supervisors:g} supervisors / {t.sizes.zones:g} collectors",
 )
+_CATALOG = Mechanism("one list of the platform, calls served one after another", "standins/discovery.cpp")
+_STORE = Mechanism("store of tables, a stream a supervisor", "standins/relay.cpp")
+_CALLS = Mechanism("stop-and-wait: one call of a supervisor at a time", "src/relay/calls.cpp")
+_SUMS = Mechanism("sums over a window, a connection a supervisor", "standins/collector.cpp")
 
 
 def _busy_rows() -> tuple[Row, ...]:
     return tuple(
-        Row("supervisor", "messages", name, metrics, BUSY, mechanism, "bytes_per_s", "", "scope", ("control",))
-        for name, metrics, mechanism in (
-            ("list in", (LIST,), _LIST),
-            ("news in", (NEWS,), _NEWS),
-            ("orders out", (ORDERS,), _ORDERS),
-            ("all that it sends", SENT, _ORDERS),
+        Row("supervisor", "messages", name, metrics, BUSY, mechanism, "bytes_per_s", "", remedy, ("control",))
+        for name, metrics, mechanism, remedy in (
+            ("list in", (LIST,), _LIST, "source"),
+            ("news in", (NEWS,), _NEWS, "acknowledgements"),
+            ("orders out", (ORDERS,), _ORDERS, "scope"),
+            ("all that it sends", SENT, _ORDERS, "scope"),
         )
     )
 
 
+def _of(role: str, kind: str, quantity: str, metric: str, mechanism: Mechanism) -> Row:
+    """A row of a role's own results at the size of all supervisors."""
+    return Row(role, kind, quantity, (metric,), SUPERVISORS, mechanism)
+
+
+def _added(role: str, quantity: str, metric: str, scope: Scope, mechanism: Mechanism, members: Members) -> Row:
+    """A row of what the messages of one supervisor add up to at a role that serves many."""
+    return Row(role, "messages", quantity, (metric,), scope, mechanism, source_role="supervisor", members=members)
+
+
 ROWS = (
     *_supervisor_rows(FLEET),
     *_supervisor_rows(SERVICE),
     *_busy_rows(),
-    Row(
-        "discovery",
-        "state",
-        "entries held",
-        ("state_entries",),
-        SUPERVISORS,
-        Mechanism("list of the platform", "standins/discovery.cpp"),
-    ),
-    Row(
-        "discovery",
-        "messages",
-        "list out, to all supervisors",
-        (LIST,),
-        FLEET,
-        _LIST,
-        source_role="supervisor",
-        members=_EVERY_SUPERVISOR,
-    ),
-    Row(
-        "discovery",
-        "messages",
-        "first lists out, to all supervisors at once",
-        ("first_list_bytes",),
-        FLEET,
-        _BACKOFF,
-        source_role="supervisor",
-        members=_EVERY_SUPERVISOR,
-    ),
-    Row("discovery", "messages", "calls waiting at the peak", ("peak_calls_waiting",), SUPERVISORS, _BACKOFF),
-    Row(
-        "discovery",
-        "processor",
-        "share of a core",
-        ("cpu_share",),
-        SUPERVISORS,
-        Mechanism("calls served one after another", "standins/discovery.cpp"),
-    ),
-    Row(
-        "discovery",
-        "memory",
-        "resident",
-        ("resident_bytes",),
-        SUPERVISORS,
-        Mechanism("list of the platform", "standins/discovery.cpp"),
-    ),
-    Row(
-        "relay",
-        "state",
-        "entries held",
-        ("state_entries",),
-        SUPERVISORS,
-        Mechanism("store of tables of the platform", "standins/relay.cpp"),
-    ),
-    Row(
-        "relay",
-        "messages",
-        "orders in, from all supervisors",
-        (ORDERS,),
-        FLEET,
-        _ORDERS,
-        source_role="supervisor",
-        members=_EVERY_SUPERVISOR,
-    ),
-    Row(
-        "relay",
-        "messages",
-        "news out, to all supervisors",
-        (NEWS,),
-        FLEET,
-        _NEWS,
-        source_role="supervisor",
-        members=_EVERY_SUPERVISOR,
-    ),
-    Row(
-        "relay",
-        "processor",
-        "share of a core",
-        ("cpu_share",),
-        SUPERVISORS,
-        Mechanism("stop-and-wait: one call of a supervisor at a time", "src/relay/calls.cpp"),
-    ),
-    Row(
-        "relay",
-        "memory",
-        "resident",
-        ("resident_bytes",),
-        SUPERVISORS,
-        Mechanism("store of tables of the platform", "standins/relay.cpp"),
-    ),
-    Row(
-        "collector",
-        "messages",
-        "reports out, whole fleet to every supervisor",
-        (REPORTS,),
-        FLEET,
-        _REPORTS,
-        source_role="supervisor",
-        members=_EVERY_COLLECTOR,
-    ),
-    Row(
-        "collector",
-        "messages",
-        "reports out, one service to each supervisor (if scoped)",
-        (REPORTS,),
-        SERVICE,
-        _REPORTS,
-        source_role="supervisor",
-        members=_EVERY_COLLECTOR,
-    ),
-    Row(
-        "collector",
-        "processor",
-        "share of a core",
-        ("cpu_share",),
-        SUPERVISORS,
-        Mechanism("windowed sums", "standins/collector.cpp"),
-    ),
-    Row(
-        "collector",
-        "memory",
-        "resident",
-        ("resident_bytes",),
-        SUPERVISORS,
-        Mechanism("windowed sums", "standins/collector.cpp"),
-    ),
+    _of("discovery", "state", "entries held", "state_entries", _CATALOG),
+    _of("discovery", "state", "bytes held", "state_bytes", _CATALOG),
+    _of("discovery", "messages", "list out", "list_out_bytes_per_s", _LIST),
+    _of("discovery", "messages", "unsent to one watch, the most", "unsent_most_bytes", _LIST),
+    _of("discovery", "messages", "calls waiting at the peak", "peak_calls_waiting", _BACKOFF),
+    _added("discovery", "list out, busy fleet", LIST, BUSY, _LIST, _EVERY_SUPERVISOR),
+    _added("discovery", "first lists out, all at once", "first_list_bytes", FLEET, _BACKOFF, _EVERY_SUPERVISOR),
+    _of("discovery", "processor", "share of a core", "cpu_share", _CATALOG),
+    _of("discovery", "memory", "resident", "resident_bytes", _CATALOG),
+    _of("relay", "state", "entries held", "state_entries", _STORE),
+    _of("relay", "state", "bytes held", "state_bytes", _STORE),
+    _added("relay", "orders in, busy fleet", ORDERS, BUSY, _ORDERS, _EVERY_SUPERVISOR),
+    _added("relay", "news out, busy fleet", NEWS, BUSY, _NEWS, _EVERY_SUPERVISOR),
+    _of("relay", "messages", "unsent to one reader, the most", "unsent_most_bytes", _NEWS),
+    _of("relay", "processor", "share of a core", "cpu_share", _CALLS),
+    _of("relay", "memory", "resident", "resident_bytes", _STORE),
+    _of("collector", "state", "connections held", "state_entries", _SUMS),
+    _of("collector", "messages", "reports out, as the test sends them", "reports_out_bytes_per_s", _REPORTS),
+    _added("collector", "reports out to every supervisor", REPORTS, FLEET, _REPORTS, _EVERY_COLLECTOR),
+    _added("collector", "reports out to every supervisor", REPORTS, SERVICE, _REPORTS, _EVERY_COLLECTOR),
+    _of("collector", "processor", "share of a core", "cpu_share", _SUMS),
+    _of("collector", "memory", "resident", "resident_bytes", _SUMS),
     Row("proxy", "state", "table lines held", ("state_entries",), ALL_LINES, _PICK),
     Row("proxy", "memory", "tables", ("state_bytes",), ALL_LINES, _PICK),
+    Row("proxy", "messages", "orders in", ("orders_in_bytes_per_s",), SUPERVISORS, _ORDERS),
+    Row("proxy", "processor", "taking in orders, share of a core", ("cpu_share",), SUPERVISORS, _ORDERS),
     Row(
         "proxy",
         "processor",
@@ -396,6 +310,7 @@
     ),
     *_times("change of the list, with the module of every supervisor", "time_to_force", _LIST),
     *_times("reload of addresses, with every supervisor", "time_to_reload", _RELOAD),
+    Row("configuration", "state", "configurations of all supervisors", ("state_bytes",), SUPERVISORS, _RELOAD),
     Row(
         "configuration",
         "messages",
@@ -442,7 +357,7 @@
 
 _FORCE = ScenarioBudget("time_to_force_s", "configuration", ("configuration",))
 _PICKED = ScenarioBudget("added_latency_p99_s", "", ("latency",), "proxy")
-_STREAM = ScenarioBudget("bytes_per_s", "scope", ("fleet", "control"), "supervisor")
+_STREAM = ScenarioBudget("bytes_per_s", "source", ("fleet", "control"), "supervisor")
 
 SCENARIO_BUDGETS = {
     "time_to_force_p50_s": _FORCE,
--- a/tests/scale_report/judge_test.py
+++ b/tests/scale_report/judge_test.py
@@ -118,9 +118,9 @@
         self.assertEqual({one.what for one in empty}, {gap.what for gap in GAPS})
 
     def test_a_mechanism_has_the_lines_and_the_worst_ratio_of_its_reds(self) -> None:
-        scope = next(one for one in remedies(self.red) if one.name == REMEDIES["scope"])
-        self.assertEqual(scope.worst, 900040 / 4000)  # all that it sends and receives
-        self.assertIn("What control may spend", scope.blocked)
+        source = next(one for one in remedies(self.red) if one.name == REMEDIES["source"])
+        self.assertEqual(source.worst, 900040 / 4000)  # all that it sends and receives
+        self.assertIn("What control may spend", source.blocked)
 
     def test_a_line_with_something_red_is_red_and_names_the_worst(self) -> None:
         status = {line.key: line_status(line, self.judged, self.red) for line in LINES}
