Capacity page: rows rest on the tests nearest to the target; assumptions in a table

Need, found on trials with the fleet's results (not kept here): a comparison at a quarter of the pace of reports gave rows of its own, a line through 500 servers and up gave 0 at 23, and tests with a small list stood beside those of the whole size.

--- a/scale/report/figures.py
+++ b/scale/report/figures.py
@@ -90,9 +90,8 @@
     """The range of repetitions, as a note."""
     if len(values) == 1:
         return "1 run"
-    if min(values) == max(values):
-        return f"{len(values)} runs, all alike"
-    return f"{len(values)} runs, {quantity(min(values), unit)} to {quantity(max(values), unit)}"
+    least, most = quantity(min(values), unit), quantity(max(values), unit)
+    return f"{len(values)} runs, " + ("all alike" if least == most else f"{least} to {most}")
 
 
 def growth(line: fit.LinearFit, power: Optional[fit.PowerFit]) -> str:
@@ -121,9 +120,12 @@
         told = f"at {variable} " + ", ".join(plain(x) for x in sizes) + f" only, {fit.LEAST_SIZES} sizes needed"
         return Figure(Basis.NONE, told if sizes else "")
     sizes = sorted({point.x for point in measured})
+    value = line.at(size)
+    if value < 0:
+        told = ", ".join(plain(x) for x in sizes)
+        return Figure(Basis.NONE, f"a line through {variable} {told} falls below 0 there")
     inside = sizes[0] < size < sizes[-1]
     error = line.error_at(size)
-    value = max(0.0, line.at(size))
     note = (
         f"line through {variable} {', '.join(plain(x) for x in sizes)} (n {line.count}, R2 {line.r_squared:.3f}, "
         f"+/- {quantity(error, unit)})"
@@ -175,10 +177,14 @@
                 chosen[series.scenario] = lines
         return chosen
 
-    def figures(self, role: str, metric: str, variable: str, size: float, unit: str) -> list[tuple[str, Figure]]:
-        """By scenario the figure at a size; empty where no scenario tells the metric."""
+    def figures(
+        self, role: str, metric: str, variable: str, size: float, unit: str, held: Mapping[str, float]
+    ) -> list[tuple[str, Figure]]:
+        """By scenario the figure at a size; empty where no scenario tells the metric. Only lines count whose sizes
+        are those of ``held``, where they name them."""
         found = []
-        for scenario, lines in self.latest(role, variable).items():
+        for scenario, all_lines in self.latest(role, variable).items():
+            lines = [line for line in all_lines if all(line.sizes.get(n, v) == v for n, v in held.items())]
             measured = points(lines, metric)
             if measured:
                 figure = at_size(measured, size, variable, unit)
@@ -196,11 +202,3 @@
                 note = spread(values, unit) + _beside(alike[0])
                 found.append((scenario, Figure(Basis.MEASURED, note, mean, min(values), max(values))))
         return found
-
-    def figure(self, role: str, metric: str, variable: str, size: float, unit: str) -> Figure:
-        """The worst figure of all scenarios, or one that says not measured."""
-        found = [figure for _, figure in self.figures(role, metric, variable, size, unit)]
-        known = [figure for figure in found if figure.known]
-        if known:
-            return max(known, key=lambda figure: figure.value)
-        return found[0] if found else Figure(Basis.NONE)
--- a/scale/report/judge.py
+++ b/scale/report/judge.py
@@ -6,10 +6,11 @@
 import enum
 from typing import Optional, Sequence
 
-from figures import Basis, Figure, Measurements, spread, total
+from figures import Basis, Figure, Measurements, spread
 from format import plain, quantity, ratio_text, unit_of
+from lookup import find
 from results import Result
-from rows import GAPS, LINES, PROPERTY_PREFIXES, REMEDIES, ROWS, SCENARIO_BUDGETS, SHOWN, STREAMS, Gap, Line, Row
+from rows import GAPS, LINES, PROPERTY_PREFIXES, REMEDIES, ROWS, SCENARIO_BUDGETS, SHOWN, Gap, Line, Row
 from targets import Targets
 
 NANOSECONDS = 1e9  # of a second
@@ -79,39 +80,13 @@
         return f"{self.row.quantity}, {self.row.scope.name}"
 
 
-def _found(row: Row, measurements: Measurements, targets: Targets, unit: str) -> list[tuple[str, Figure]]:
-    role = row.source_role or row.role
-    found = []
-    for sweep in row.scope.sweeps:
-        size = sweep.size(targets)
-        if len(row.metrics) == 1:
-            found += measurements.figures(role, row.metrics[0], sweep.variable, size, unit)
-        else:
-            found += _sums(measurements, role, row.metrics, sweep.variable, size, unit)
-    if row.scope.planned and len(row.metrics) == 1:
-        sizes = {name: targets.size(name) for name in row.scope.planned}
-        found += measurements.at_plan(role, row.metrics[0], sizes, unit)
-    known = [(scenario, figure) for scenario, figure in found if figure.known]
-    return known or found[:1]
-
-
-def _sums(
-    measurements: Measurements, role: str, metrics: Sequence[str], variable: str, size: float, unit: str
-) -> list[tuple[str, Figure]]:
-    names = {metric: name for name, metric in STREAMS.items()}
-    told = [(names.get(m, m), dict(measurements.figures(role, m, variable, size, unit))) for m in metrics]
-    return [
-        (scenario, total([(name, by_scenario.get(scenario, Figure(Basis.NONE))) for name, by_scenario in told]))
-        for scenario in measurements.latest(role, variable)
-    ]
-
-
 def judge_row(row: Row, measurements: Measurements, targets: Targets) -> list[Judged]:
     """A row once for each scenario that tells it; once without a figure where none does."""
     unit = unit_of(row.metrics[0])
     budget = in_unit(targets.budget(row.budget), unit) if row.budget else None
     judged = []
-    for scenario, figure in _found(row, measurements, targets, unit) or [("", Figure(Basis.NONE))]:
+    found = find(measurements, targets, row.source_role or row.role, row.metrics, row.scope)
+    for scenario, figure in found or [("", Figure(Basis.NONE))]:
         if row.members is not None:
             figure = figure.times(row.members.count(targets), row.members.reckoning(targets))
         judged.append(Judged(row, scenario, figure, unit, budget))
--- a/scale/report/rows.py
+++ b/scale/report/rows.py
@@ -71,6 +71,7 @@
 
     name: str
     sweeps: tuple[Sweep, ...]
+    held: tuple[tuple[str, Callable[[Targets], float]], ...] = ()  # other sizes that lines must have, if they name them
     planned: tuple[str, ...] = ()  # sizes that make a scale test beside any sweep one of the target's size
 
 
@@ -113,13 +114,15 @@
     unit: str = ""  # of both, as words behind the number
 
 
-FLEET = Scope("whole fleet (as built)", (Sweep("servers", lambda t: t.sizes.servers),))
-SERVICE = Scope("one service (if scoped)", (Sweep("servers", lambda t: t.sizes.servers_per_service),))
+# Every server reported by every collector in each period, at the pace assumed.
+_ALL_REPORTED = (("reports_every_s", lambda t: t.assumptions.report_period_s), ("reported", lambda t: 0))
+FLEET = Scope("whole fleet (as built)", (Sweep("servers", lambda t: t.sizes.servers),), _ALL_REPORTED)
+SERVICE = Scope("one service (if scoped)", (Sweep("servers", lambda t: t.sizes.servers_per_service),), _ALL_REPORTED)
 # A rung of the ladder is a part of the plan in all sizes together; 1 is the plan.
 SUPERVISORS = Scope(
     "all supervisors",
     (Sweep("ladder", lambda t: 1), Sweep("supervisors", lambda t: t.sizes.supervisors)),
-    ("supervisors", "servers"),
+    planned=("supervisors", "servers"),
 )
 BUSY = Scope("busy fleet, proxies as assumed", (Sweep("proxies", lambda t: t.assumptions.proxies),))
 ALL_LINES = Scope("a line for every server", (Sweep("lines", lambda t: t.sizes.servers),))
--- a/scale/report/sheet.py
+++ b/scale/report/sheet.py
@@ -6,7 +6,8 @@
 from typing import Callable
 
 from figures import Basis, Figure, Measurements
-from format import bytes_text, plain, quantity, unit_of
+from format import bytes_text, plain, quantity
+from lookup import worst
 from rows import Scope
 from targets import Targets
 
@@ -45,16 +46,7 @@
 
     def figure(self, metric: str, scope: Scope, role: str = "supervisor") -> Figure:
         """The worst measured figure of a role at a scope's size."""
-        unit = unit_of(metric)
-        found = [
-            self.measurements.figure(role, metric, sweep.variable, sweep.size(self.targets), unit)
-            for sweep in scope.sweeps
-        ]
-        if scope.planned:
-            sizes = {name: self.targets.size(name) for name in scope.planned}
-            found += [figure for _, figure in self.measurements.at_plan(role, metric, sizes, unit)]
-        known = [figure for figure in found if figure.known]
-        return max(known, key=lambda figure: figure.value) if known else found[0]
+        return worst(self.measurements, self.targets, role, metric, scope)
 
     def step(self, name: str, reckoning: str, result: str) -> None:
         """A step that rests on targets alone."""
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import NamedTuple, Sequence
 
 import arithmetic
@@ -239,6 +240,14 @@
     return table(("target", "value"), body)
 
 
+def _assumptions(targets: Targets) -> str:
+    body = []
+    for field in dataclasses.fields(targets.assumptions):
+        value = getattr(targets.assumptions, field.name)
+        body.append((f"`{field.name}`", quantity(value, unit_of(field.name))))
+    return table(("assumption", "value"), body)
+
+
 def _arithmetic(steps: Sequence[Step]) -> str:
     return table(("quantity", "reckoning", "result"), [(s.quantity, s.reckoning, s.result) for s in steps])
 
@@ -251,6 +260,7 @@
     red = reds(judged, scenarios, targets)
     tables = {
         "targets": _sizes(targets),
+        "assumptions": _assumptions(targets),
         "summary": _summary(judged, red),
         "streams": _streams(judged),
         "ranking-rows": _ranking_rows(red),
--- a/scale/report/targets.py
+++ b/scale/report/targets.py
@@ -70,11 +70,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Assumptions:
-    """Figures that no target states: proxies of a supervisor, sizes of entries, and bounds that stand in
-    docs/service.md. An entry of the list is that of the protocol's page; a restart tells three: draining, deleted,
-    serving."""
+    """Figures that no target states: proxies of a supervisor, the period of reports, sizes of entries, and bounds
+    that stand in docs/service.md. An entry of the list is that of the protocol's page; a restart tells three:
+    draining, deleted, serving."""
 
     proxies: float
+    report_period_s: float
     tenant_entry_bytes: float
     list_entry_bytes: float
     list_changes_per_restart: float
--- a/tests/scale_report/judge_test.py
+++ b/tests/scale_report/judge_test.py
@@ -6,8 +6,9 @@
 from figures import Basis, Figure, Measurements, at_size, points
 from format import quantity, ratio_text, unit_of
 from judge import Verdict, judge, judge_all, judge_row, line_status, reds, remedies, scenario_rows
-from results import WrongResult
-from rows import GAPS, LINES, REMEDIES, ROWS
+from lookup import find, worst
+from results import Result, WrongResult
+from rows import FLEET, GAPS, LINES, REMEDIES, ROWS
 
 CPU = "cpu_share"
 
@@ -44,17 +45,41 @@
         two = figure_at(CPU, 1500, {23: [0.01], 200: [0.02]})
         self.assertEqual((two.known, two.text("share")), (False, "not measured"))
         self.assertIn("23, 200 only", two.note)
-        self.assertFalse(Measurements([]).figure("supervisor", CPU, "servers", 1500, "share").known)
+        self.assertFalse(worst(Measurements([]), made.plan(), "supervisor", CPU, FLEET).known)
+
+    def test_a_line_that_falls_below_nothing_gives_no_figure(self) -> None:
+        figure = figure_at(CPU, 23, {500: [0.01], 1000: [0.03], 1500: [0.05]})
+        self.assertFalse(figure.known)
+        self.assertIn("falls below 0", figure.note)
 
     def test_of_several_revisions_the_last_read_counts(self) -> None:
         old = made.sweep(CPU, {1500: [0.09]}, revision="aaaaaaa")
         new = made.sweep(CPU, {1500: [0.01]}, revision="bbbbbbb")
-        figure = Measurements(old + new).figure("supervisor", CPU, "servers", 1500, "share")
+        figure = worst(Measurements(old + new), made.plan(), "supervisor", CPU, FLEET)
         self.assertAlmostEqual(figure.value, 0.01)
 
     def test_of_several_scenarios_the_worst_is_reckoned_with(self) -> None:
         both = made.sweep(CPU, {1500: [0.09]}) + made.sweep(CPU, {1500: [0.01]}, scenario="quiet")
-        self.assertAlmostEqual(Measurements(both).figure("supervisor", CPU, "servers", 1500, "share").value, 0.09)
+        self.assertAlmostEqual(worst(Measurements(both), made.plan(), "supervisor", CPU, FLEET).value, 0.09)
+
+    def found(self, results: list[Result]) -> list[tuple[str, float]]:
+        told = find(Measurements(results), made.plan(), "supervisor", (CPU,), FLEET)
+        return [(scenario, round(figure.value, 6)) for scenario, figure in told]
+
+    def test_what_was_measured_goes_before_a_line_of_another_test(self) -> None:
+        line = made.sweep(CPU, {100: [0.01], 200: [0.02], 300: [0.03]}, scenario="small")
+        real = made.sweep(CPU, {100: [0.02], 200: [0.04], 300: [0.06]}, scenario="small/real")
+        there = made.sweep(CPU, {1500: [0.05]})
+        self.assertEqual(self.found(line + there), [("made", 0.05)])
+        self.assertEqual(self.found(line + real), [("small", 0.15), ("small/real", 0.3)])
+        self.assertEqual(self.found(real + there), [("made", 0.05), ("small/real", 0.3)])
+
+    def test_reports_at_another_pace_or_of_a_part_bear_on_no_row(self) -> None:
+        for beside in ({"reports_every_s": 4}, {"reported": 23}):
+            sizes = {"servers": 1500, **beside}
+            self.assertEqual(self.found([made.result(value=1500, sizes=sizes)]), [])
+        planned = {"servers": 1500, "reports_every_s": 1, "reported": 0}
+        self.assertEqual(self.found([made.result(value=1500, sizes=planned)]), [("made", 0.01)])
 
     def test_a_scale_test_of_the_targets_size_is_measured_there(self) -> None:
         plan = made.plan()
