A hollow fleet: supervisors by the hundred on the classes that serve uses

A scenario that is wrong, or over half of the memory, too many processes or descriptors, is refused with file, line and what was expected.

--- /dev/null
+++ b/scale/world.cpp
@@ -0,0 +1,46 @@
+#include "scale/world.h"
+
+#include <cstdio>
+#include <sstream>
+
+namespace peargrade::scale {
+
+// Ten characters, as on the protocol's page; the service first.
+std::string serverName(const Scenario& s, int number) {
+  char name[32];
+  std::snprintf(name, sizeof name, "s-%03x%05x", number % s.sizes.services, number);
+  return name;
+}
+
+std::string zoneName(int number) { return "zone" + std::to_string(number); }
+int zoneOf(const Scenario& s, int number) { return number % s.sizes.zones; }
+int firstSlice(const Scenario& s, int supervisor) { return supervisor * s.sizes.slices; }
+int slicesInAll(const Scenario& s) { return s.sizes.supervisors * s.sizes.slices; }
+
+std::string configText(const Scenario& s, int supervisor, const net::Address& listen,
+                       const net::Address& discovery, const net::Address& relay) {
+  std::ostringstream json;
+  json << R"({"name":"n)" << supervisor << R"(","listen":")" << listen.text() << R"(","discovery":")"
+       << discovery.text() << R"(","relay":{"address":")" << relay.text() << R"("},"seed":")" << std::hex
+       << s.seed * 1000003 + static_cast<std::uint64_t>(supervisor) << std::dec
+       << R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},)"
+       << R"("known":{"rev":0,"all":true,"targets":[]},"settings":{"family":"control","groupSize":)"
+       << s.sizes.supervisors << R"(,"ordinal":)" << supervisor << R"(,"zones":[)";
+  for (int zone = 0; zone < s.sizes.zones; ++zone)
+    json << (zone == 0 ? "\"" : ",\"") << zoneName(zone) << '"';
+  json << R"(],"kinds":["m1"],"registryMode":"on_request","weights":"rough","classes":[)"
+       << R"({"name":"lookup","aimUs":800000,"hardLimitUs":2500000,"effect":"repeatable","worth":1.0},)"
+       << R"({"name":"order","aimUs":1200000,"hardLimitUs":3000000,"effect":"once","worth":5.0}],)"
+       << R"("limits":{"probes":false,"peerMessages":false},"extra":{"shards":)" << slicesInAll(s)
+       << R"(,"proxyCount":)" << s.sizes.proxies
+       << R"(,"throttleBy":"fraction","egressPerS":30000.0,"pendingMax":)" << kLinesWaitingMost
+       << R"(,"perMessage":8.0,"updateCap":)" << kMessagesMost << R"(,"updateWindowUs":)" << kMessagesSpan
+       << R"(,"pushDelayUs":)" << kApplyAfter << R"(,"pushDelayMaxUs":)" << 2 * kApplyAfter
+       << R"(,"reportEveryUs":1000000,"blackholeUs":)" << kBareMost
+       << R"(,"usualHow":0,"tryAims":0.8,"mutating":[false,true]},"rules":{"askWithinUs":)" << kAskWithin
+       << R"(,"drainGraceUs":)" << kDrainGrace
+       << R"(,"startCapacity":0.2,"warmAfterUs":10000000,"overloadFactor":3.0,"fallUs":1500000}}})";
+  return json.str();
+}
+
+}  // namespace peargrade::scale
--- a/src/supervisor/serve.h
+++ b/src/supervisor/serve.h
@@ -1,17 +1,16 @@
-// One supervisor from its configuration to its end: builds both sides and the exchange and runs the loop.
+// One supervisor as a process, from its configuration to its end: a Node, the loop and the signals.
 #pragma once
 
 #include <functional>
 
 #include "config/config.h"
 #include "log/log.h"
-#include "sources/front.h"
+#include "supervisor/node.h"
 
 namespace peargrade::supervisor {
 
 // Serves until SIGTERM or SIGINT; returns the exit code. `loadAgain` reads the configuration at SIGHUP.
-// `sources`: makes the front of the sources that an operator's file names; none: discovery is the only one.
-using MakeSources = std::function<std::unique_ptr<sources::Front>(sources::Surroundings)>;
+// `sources`: as for Node.
 int serve(const config::Config& config, const std::function<config::Config()>& loadAgain, log::Log& log,
           const op::Operator* op = nullptr, const MakeSources& sources = nullptr);
 
--- a/src/supervisor/supervisor.h
+++ b/src/supervisor/supervisor.h
@@ -19,12 +19,15 @@
   void turn(Micros now);
   // When the next timer is due.
   std::optional<Micros> nextTimer() const { return timers_.next(); }
+  // Sees each event just before the module does.
+  void onEvent(std::function<void(const Event&)> seen) { seen_ = std::move(seen); }
 
  private:
   Director director_;
   exchange::Exchange& exchange_;
   log::Log& log_;
   Timers timers_;
+  std::function<void(const Event&)> seen_;
 };
 
 }  // namespace peargrade::supervisor
--- a/standins/collector.h
+++ b/standins/collector.h
@@ -18,6 +18,7 @@
   bool up() const { return stream_ && stream_->up(); }
   bool ended() const { return !stream_; }
   void close() { stream_.reset(); }
+  std::size_t unsent() const { return stream_ && stream_->up() ? stream_->unsent() : early_.size(); }
 
   std::vector<std::string> received;  // bodies
 
--- a/standins/discovery.cpp
+++ b/standins/discovery.cpp
@@ -3,6 +3,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <sstream>
 #include <stdexcept>
@@ -11,6 +12,11 @@
 #include "standins/sockets.h"
 
 namespace peargrade::standins {
+namespace {
+
+constexpr int kQueue = 4096;  // connections that wait to be taken in
+
+}  // namespace
 
 Discovery::Discovery(event_base* base, const std::string& host, std::uint16_t port)
     : address_{host, port}, http_(evhttp_new(base)), empty_(base, [this] {
@@ -18,8 +24,14 @@
         empty_.in(2000000);
       }) {
   evhttp_set_gencb(http_.get(), onRequest, this);
-  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(http_.get(), host.c_str(), port);
-  if (socket == nullptr) throw std::runtime_error("discovery cannot listen on " + address_.text());
+  evhttp_set_bevcb(http_.get(), onAccept, this);
+  // evhttp's own queue has 128 places; a fleet that dials at once needs more.
+  sockaddr_in bound = address_.socket();
+  evconnlistener* listener =
+      evconnlistener_new_bind(base, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kQueue,
+                              reinterpret_cast<sockaddr*>(&bound), sizeof bound);
+  if (listener == nullptr) throw std::runtime_error("discovery cannot listen on " + address_.text());
+  evhttp_bound_socket* socket = evhttp_bind_listener(http_.get(), listener);
   sockaddr_in at{};
   socklen_t size = sizeof at;
   getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&at), &size);
@@ -48,9 +60,29 @@
          R"(,"targets":[)" + text + "]}";
 }
 
+// Counts the bytes of a connection from its first.
+bufferevent* Discovery::onAccept(event_base* base, void* self) {
+  bufferevent* const buffer = bufferevent_socket_new(base, -1, 0);
+  if (buffer == nullptr) return nullptr;
+  evbuffer_add_cb(
+      bufferevent_get_input(buffer),
+      [](evbuffer*, const evbuffer_cb_info* info, void* d) {
+        static_cast<Discovery*>(d)->wireIn += info->n_added;
+      },
+      self);
+  evbuffer_add_cb(
+      bufferevent_get_output(buffer),
+      [](evbuffer*, const evbuffer_cb_info* info, void* d) {
+        static_cast<Discovery*>(d)->wireOut += info->n_added;
+      },
+      self);
+  return buffer;
+}
+
 void Discovery::onRequest(evhttp_request* request, void* self) {
   auto* d = static_cast<Discovery*>(self);
   d->requests.emplace_back(evhttp_request_get_uri(request));
+  d->in.add("request", d->requests.back().size());
   evhttp_connection* connection = evhttp_request_get_connection(request);
   if (d->mute) {
     d->muted_[connection] = request;
@@ -73,11 +105,13 @@
   evhttp_clear_headers(&query);
   evbuffer* out = evbuffer_new();
   evbuffer_add_printf(out, "%s\n", body.c_str());
+  d->out.add(follow && since != nullptr ? "changes" : "whole", body.size() + 1);
   if (follow) {
     evhttp_send_reply_start(request, 200, "OK");
     evhttp_send_reply_chunk(request, out);
     d->watches_[connection] = request;
     evhttp_connection_set_closecb(connection, onClose, d);
+    if (d->onWatch) d->onWatch();
   } else {
     evhttp_send_reply(request, 200, "OK", out);
   }
@@ -101,6 +135,9 @@
     evbuffer_add(out, bytes.data(), bytes.size());
     evhttp_send_reply_chunk(request, out);
     evbuffer_free(out);
+    this->out.add(bytes.size() > 1 ? "changes" : "empty", bytes.size());
+    const evbuffer* waiting = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    unsentMost = std::max(unsentMost, evbuffer_get_length(waiting));
   }
 }
 
--- a/standins/discovery.h
+++ b/standins/discovery.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "net/net.h"
+#include "standins/traffic.h"
 
 namespace peargrade::standins {
 
@@ -37,9 +38,15 @@
   // ---- What was seen ----
   std::vector<std::string> requests;  // their targets
   std::size_t watching() const { return watches_.size(); }
+  std::size_t held() const { return entries_.size(); }  // entries, those that have gone among them
+  std::function<void()> onWatch;                        // a watch has begun
+  Traffic in, out;  // by kind: request; whole, changes, empty. Bytes without HTTP's framing
+  std::uint64_t wireIn = 0, wireOut = 0;  // bytes on all connections, with HTTP's framing
+  std::size_t unsentMost = 0;             // that one watch had waiting at the most, in bytes
 
  private:
   static void onRequest(evhttp_request* request, void* self);
+  static bufferevent* onAccept(event_base* base, void* self);
   static void onClose(evhttp_connection* connection, void* self);
 
   net::Address address_;
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -11,6 +11,8 @@
 namespace peargrade::standins {
 namespace {
 
+constexpr std::size_t kEnd = 2;  // CRLF
+
 std::vector<std::string> split(const std::string& text, char at) {
   std::vector<std::string> words;
   std::istringstream in(text);
@@ -78,12 +80,19 @@
   if (line == "WATCH") {
     ++watches;
     peer->watching = true;
-    if (!muteNews) peer->stream->send("OK\r\n" + standing());
-    return;
+    in.add("watch", line.size() + kEnd);
+    if (muteNews) return;
+    const std::string text = "OK\r\n" + standing();
+    return say(*peer, "standing", text,
+               static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n')));
+  }
+  if (line.compare(0, 6, "APPLY ") != 0) {
+    in.add("unknown", line.size() + kEnd);
+    return say(*peer, "answer", "ERR invalid\r\n");
   }
-  if (line.compare(0, 6, "APPLY ") != 0) return peer->stream->send("ERR invalid\r\n");
+  in.add("apply", line.size() + kEnd);
   const std::string sent = line.substr(6);
-  calls.push_back(sent);
+  if (keep) calls.push_back(sent);
   Fault fault = Fault::None;
   if (!faults.empty()) {
     fault = faults.front();
@@ -97,7 +106,7 @@
   };
   switch (fault) {
     case Fault::None:
-      return peer->stream->send("OK " + std::to_string(carryOut(sent)) + "\r\n");
+      return say(*peer, "answer", "OK " + std::to_string(carryOut(sent)) + "\r\n");
     case Fault::BreakBefore:
       return reset();
     case Fault::BreakAfter:
@@ -110,11 +119,11 @@
       return;
     case Fault::Garbage:
       carryOut(sent);
-      return peer->stream->send("\x01\x02 what\r\n");
+      return say(*peer, "answer", "\x01\x02 what\r\n");
     case Fault::Throttled:
-      return peer->stream->send("ERR throttled\r\n");
+      return say(*peer, "answer", "ERR throttled\r\n");
     case Fault::Invalid:
-      return peer->stream->send("ERR invalid\r\n");
+      return say(*peer, "answer", "ERR invalid\r\n");
   }
 }
 
@@ -123,9 +132,10 @@
   for (const std::string& order : split(sent, ';')) {
     if (!carryOutOne(order)) break;
     ++count;
-    orders.push_back(order);
+    if (keep) orders.push_back(order);
     if (onOrder) onOrder(order);
   }
+  if (onCall) onCall(sent);
   return count;
 }
 
@@ -165,22 +175,30 @@
   return text;
 }
 
-void Relay::raw(const std::string& bytes) {
+void Relay::say(Peer& peer, const char* kind, const std::string& bytes, std::uint64_t messages) {
+  out.add(kind, bytes.size(), messages);
+  peer.stream->send(bytes);
+  unsentMost = std::max(unsentMost, peer.stream->unsent());
+}
+
+void Relay::tell(const char* kind, const std::string& bytes) {
   if (muteNews) return;
   for (Peer& peer : peers_) {
-    if (peer.watching) peer.stream->send(bytes);
+    if (peer.watching) say(peer, kind, bytes);
   }
 }
 
+void Relay::raw(const std::string& bytes) { tell("other", bytes); }
+
 void Relay::attach(int proxy, const Proxy& how) {
   proxies[proxy] = how;
-  raw("* attach " + std::to_string(proxy) + " " + how.az + " " + number(how.share) +
-      (how.standing ? " 1" : " 0") + "\r\n");
+  tell("attach", "* attach " + std::to_string(proxy) + " " + how.az + " " + number(how.share) +
+                     (how.standing ? " 1" : " 0") + "\r\n");
 }
 
 void Relay::detach(int proxy) {
   proxies.erase(proxy);
-  raw("* detach " + std::to_string(proxy) + "\r\n");
+  tell("detach", "* detach " + std::to_string(proxy) + "\r\n");
 }
 
 void Relay::give(int slice, const std::map<std::string, std::string>& lines) {
@@ -188,16 +206,16 @@
   std::string text = "* owner " + std::to_string(slice) + " 1\r\n";
   for (const auto& [host, weight] : lines)
     text += "* entry " + std::to_string(slice) + " " + host + " " + weight + "\r\n";
-  raw(text);
+  tell("owner", text);
 }
 
 void Relay::take(int slice) {
   slices.erase(slice);
-  raw("* owner " + std::to_string(slice) + " 0\r\n");
+  tell("owner", "* owner " + std::to_string(slice) + " 0\r\n");
 }
 
 void Relay::done(int proxy, int mark, double lagMs) {
-  raw("* done " + std::to_string(proxy) + " " + std::to_string(mark) + " " + number(lagMs) + "\r\n");
+  tell("done", "* done " + std::to_string(proxy) + " " + std::to_string(mark) + " " + number(lagMs) + "\r\n");
 }
 
 void Relay::answerHeld() {
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -13,6 +13,7 @@
 
 #include "net/lines.h"
 #include "net/net.h"
+#include "standins/traffic.h"
 
 namespace peargrade::standins {
 
@@ -38,7 +39,7 @@
   void take(int slice);
   void done(int proxy, int mark, double lagMs);
   void raw(const std::string& bytes);  // to all who watch
-  void life() { raw("*\r\n"); }
+  void life() { tell("life", "*\r\n"); }
 
   // ---- Misbehaviour ----
   enum class Fault {
@@ -60,12 +61,17 @@
   void refuse(bool on);   // stops listening, or listens again
 
   // ---- What was seen ----
+  bool keep = true;                 // whether calls and orders below are kept; they grow with each call
   std::vector<std::string> calls;   // the orders of each call that arrived
   std::vector<std::string> orders;  // each order taken, in sequence
   int watches = 0;                  // WATCH lines
   int dials = 0;
   std::size_t open() const { return peers_.size(); }
   std::function<void(const std::string& order)> onOrder;
+  std::function<void(const std::string& orders)> onCall;  // carried out, before it is answered
+  // By kind. In: watch, apply, unknown. Out: answer, standing, attach, detach, owner, done, life, other.
+  Traffic in, out;
+  std::size_t unsentMost = 0;  // that one connection had waiting at the most, in bytes
 
  private:
   struct Peer {
@@ -81,6 +87,8 @@
   std::size_t carryOut(const std::string& orders);
   bool carryOutOne(const std::string& order);
   std::string standing() const;
+  void say(Peer& peer, const char* kind, const std::string& bytes, std::uint64_t messages = 1);
+  void tell(const char* kind, const std::string& bytes);  // to all who watch
 
   event_base* base_;
   net::Address address_;
--- /dev/null
+++ b/standins/traffic.h
@@ -0,0 +1,33 @@
+// Exact counts of what a stand-in has sent or read, by kind of message.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace peargrade::standins {
+
+struct Traffic {
+  struct Count {
+    std::uint64_t messages = 0, bytes = 0;
+  };
+  std::map<std::string, Count, std::less<>> kinds;
+
+  void add(const char* kind, std::size_t bytes, std::uint64_t messages = 1) {
+    auto it = kinds.find(kind);
+    if (it == kinds.end()) it = kinds.emplace(kind, Count{}).first;
+    it->second.messages += messages;
+    it->second.bytes += bytes;
+  }
+  Count all() const {
+    Count sum;
+    for (const auto& [kind, count] : kinds) {
+      sum.messages += count.messages;
+      sum.bytes += count.bytes;
+    }
+    return sum;
+  }
+};
+
+}  // namespace peargrade::standins
--- /dev/null
+++ b/tests/scale/fit_test.cpp
@@ -0,0 +1,80 @@
+#include "scale/fit.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <fstream>
+
+#include "scale/result.h"
+
+namespace peargrade::scale {
+namespace {
+
+template <class Y>
+std::vector<Point> points(const Y& y) {
+  std::vector<Point> all;
+  for (const double x : {23.0, 94.0, 188.0, 375.0, 750.0, 1500.0}) {
+    for (const double noise : {-0.01, 0.0, 0.01}) all.push_back({x, y(x) * (1 + noise)});
+  }
+  return all;
+}
+
+TEST(Fit, NamesHowAFigureGrows) {
+  const Fit line = fit(points([](double x) { return 40 + 3 * x; }));
+  EXPECT_EQ(line.growth, Growth::Linear);
+  EXPECT_NEAR(line.slope, 3, 0.01);
+  EXPECT_NEAR(line.base, 40, 2);
+  EXPECT_LT(line.residual, 0.02);
+  const Fit square = fit(points([](double x) { return 5 + x * x; }));
+  EXPECT_EQ(square.growth, Growth::AboveLinear);
+  EXPECT_NEAR(square.power, 2, 0.1);
+  EXPECT_EQ(fit(points([](double x) { return std::sqrt(x); })).growth, Growth::BelowLinear);
+  EXPECT_EQ(fit(points([](double) { return 7.0; })).growth, Growth::Flat);
+}
+
+TEST(Fit, NeedsFiveValues) {
+  EXPECT_THROW(fit({{1, 1}, {2, 2}, {3, 3}, {4, 4}, {4, 4}}), std::runtime_error);
+}
+
+TEST(Results, AreReadAsTheyWereWritten) {
+  Record r;
+  r.revision = "abc1234";
+  r.scenario = "some";
+  r.role = "supervisor";
+  r.variable = "servers";
+  r.value = 375;
+  r.seed = 7;
+  r.seconds = 9.5;
+  r.sizes = {{"servers", 375}};
+  r.metrics = {{"cpu_share", 0.0123}, {"first_list_bytes", 52452}};
+  const std::string path = testing::TempDir() + "peargrade_results_" + std::to_string(getpid());
+  {
+    std::ofstream out(path);
+    write(out, r);
+    out << "{\"half\":\n";
+  }
+  try {
+    readRecords(path);
+    ADD_FAILURE() << "half a line was taken";
+  } catch (const std::runtime_error& e) {
+    EXPECT_EQ(e.what(), path + ":2: found no result, expected an object as `run` writes it");
+  }
+  {
+    std::ofstream out(path);
+    write(out, r);
+  }
+  const auto all = readRecords(path);
+  std::remove(path.c_str());
+  ASSERT_EQ(all.size(), 1u);
+  EXPECT_EQ(all[0].metrics, r.metrics);
+  EXPECT_EQ(all[0].value, 375);
+}
+
+TEST(Results, AQuantileIsAValueThatWasMeasured) {
+  EXPECT_EQ(quantile({3, 1, 2}, 0.5), 2);
+  EXPECT_EQ(quantile({3, 1, 2}, 0.99), 3);
+  EXPECT_EQ(quantile({}, 0.5), 0);
+}
+
+}  // namespace
+}  // namespace peargrade::scale
