Hollow collectors tell a supervisor of its own service's servers; hollow beside real

Need: at full size a supervisor hears of its service, not of all 1,500 servers; and hollow slopes have to be checked against real processes.

--- a/scale/collectorpart.cpp
+++ b/scale/collectorpart.cpp
@@ -18,9 +18,11 @@
       base_(base),
       targets_(static_cast<std::size_t>(scenario.sizes.supervisors)),
       random_(scenario.seed),
-      frames_(static_cast<std::size_t>(scenario.sizes.zones)),
+      frames_(static_cast<std::size_t>(scenario.sizes.zones * scenario.sizes.services)),
+      reported_(scenario.reported == 0 ? scenario.sizes.servers
+                                       : std::min(scenario.reported, scenario.sizes.servers)),
       tick_(base, [this] { tick(); }) {
-  for (Target& target : targets_) target.links.resize(frames_.size());
+  for (Target& target : targets_) target.links.resize(static_cast<std::size_t>(scenario.sizes.zones));
   periodFrom_ = net::steadyNow();
   tick_.in(kTick);
 }
@@ -45,8 +47,6 @@
     late_ += static_cast<std::uint64_t>((now - periodFrom_) / scenario_.reportsEvery - 1);
     periodFrom_ += (now - periodFrom_) / scenario_.reportsEvery * scenario_.reportsEvery;
     next_ = 0;
-    const int reported = scenario_.reported == 0 ? scenario_.sizes.servers : scenario_.reported;
-    first_ = (first_ + reported) % scenario_.sizes.servers;
     for (std::string& frames : frames_) frames.clear();
   }
   const double part = std::min(
@@ -58,10 +58,10 @@
     for (int zone = 0; zone < scenario_.sizes.zones; ++zone) {
       auto& link = target.links[static_cast<std::size_t>(zone)];
       if (!link || link->ended()) dial(target, zone);
-      const std::string& frames = serverReports(zone);
+      const std::string& frames = serverReports(zone, serviceOf(scenario_, static_cast<int>(next_)));
       link->sendRaw(frames);
       bytes_ += frames.size();
-      messages_ += framesIn_;
+      messages_ += static_cast<std::uint64_t>(reported_);
       unsentMost_ = std::max(unsentMost_, link->unsent());
     }
     const std::string slices = sliceReports(static_cast<int>(next_));
@@ -71,16 +71,17 @@
   }
 }
 
-const std::string& CollectorPart::serverReports(int zone) {
-  std::string& frames = frames_[static_cast<std::size_t>(zone)];
+// All servers are told to every service alike.
+const std::string& CollectorPart::serverReports(int zone, int service) {
+  if (reported_ == scenario_.sizes.servers) service = 0;
+  std::string& frames = frames_[static_cast<std::size_t>(service * scenario_.sizes.zones + zone)];
   if (!frames.empty()) return frames;
   const Sizes& sizes = scenario_.sizes;
-  const int reported = std::min(sizes.servers, scenario_.reported == 0 ? sizes.servers : scenario_.reported);
   const double window = static_cast<double>(scenario_.reportsEvery) / 1000;
   const double mean = scenario_.requests / sizes.servers / sizes.zones * window / 1000;
   char body[256];
-  for (int k = 0; k < reported; ++k) {
-    const std::string server = serverName(scenario_, (first_ + k) % sizes.servers);
+  for (int k = 0; k < reported_; ++k) {
+    const std::string server = serverName(scenario_, serverOf(scenario_, service, k));
     const int n = static_cast<int>(mean * (0.8 + 0.4 * std::uniform_real_distribution<>()(random_)) + 0.5);
     const double took = 80 + 40 * std::uniform_real_distribution<>()(random_);
     std::snprintf(
@@ -89,7 +90,6 @@
         zoneName(zone).c_str(), server.c_str(), n, took, window);
     frames += clients::Framing::frame(body);
   }
-  framesIn_ = static_cast<std::uint64_t>(reported);
   return frames;
 }
 
@@ -118,7 +118,8 @@
   f["reports_out_messages"] = {static_cast<double>(messages_)};
   f["late_periods"] = {static_cast<double>(late_)};
   f["unsent_most"] = {static_cast<double>(unsentMost_)};
-  f["state_entries"] = {static_cast<double>(targets_.size() * frames_.size())};
+  f["state_entries"] = {
+      static_cast<double>(targets_.size() * static_cast<std::size_t>(scenario_.sizes.zones))};
   return f;
 }
 
--- a/scale/collectorpart.h
+++ b/scale/collectorpart.h
@@ -28,8 +28,8 @@
   };
   void tick();
   void dial(Target& target, int zone);
-  // Reports of a zone's proxies on the servers whose turn it is, as frames.
-  const std::string& serverReports(int zone);
+  // Reports of a zone's proxies on servers of a service, as frames.
+  const std::string& serverReports(int zone, int service);
   std::string sliceReports(int supervisor);
   Figures sample();
 
@@ -39,9 +39,8 @@
   std::mt19937_64 random_;
   std::size_t next_ = 0;             // target of the next tick
   Micros periodFrom_ = 0;            // the period under way began then
-  int first_ = 0;                    // server of this period's reports
-  std::vector<std::string> frames_;  // by zone, of this period
-  std::uint64_t framesIn_ = 0;       // in one zone's
+  std::vector<std::string> frames_;  // by service and zone, of this period
+  const int reported_;               // servers in one of them
   std::uint64_t bytes_ = 0, messages_ = 0, late_ = 0;
   std::size_t unsentMost_ = 0;
   net::Timer tick_;
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -4,12 +4,13 @@
 
 #include <CLI/CLI.hpp>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <map>
-#include <set>
+#include <sstream>
 
 #include "scale/fit.h"
 #include "scale/fleet.h"
@@ -157,6 +158,37 @@
   return 0;
 }
 
+struct CompareAsked {
+  std::string file, variable;
+  double tolerance = 0.25;
+};
+
+// Slopes of the hollow supervisors beside those of the real ones in the same runs.
+int compare(const CompareAsked& asked) {
+  std::map<std::string, std::vector<Point>> hollow, real;
+  for (const Record& r : readRecords(asked.file)) {
+    if (r.variable != asked.variable || r.role != "supervisor") continue;
+    auto& side = r.scenario.find('/') == std::string::npos ? hollow : real;
+    for (const auto& [name, value] : r.metrics) side[name].push_back({r.value, value});
+  }
+  if (real.empty())
+    throw std::runtime_error(asked.file + ": found no real supervisors, expected some beside the hollow");
+  bool within = true;
+  std::cout << "| figure | hollow: at nothing, per " << asked.variable << " | real: at nothing, per "
+            << asked.variable
+            << " | slopes differ by | tolerance |\n"
+               "| --- | --- | --- | --- | --- |\n";
+  for (const auto& [name, points] : real) {
+    const Fit there = fit(points), here = fit(hollow[name]);
+    const double off = here.slope / there.slope - 1;
+    within = within && std::abs(off) <= asked.tolerance;
+    std::cout << "| " << name << " | " << std::setprecision(4) << here.base << ", " << here.slope << " | "
+              << there.base << ", " << there.slope << " | " << std::setprecision(3) << 100 * off << "% | "
+              << 100 * asked.tolerance << "% |\n";
+  }
+  return within ? 0 : kRuleBroken;
+}
+
 }  // namespace
 }  // namespace peargrade::scale
 
@@ -199,6 +231,13 @@
   fitting->add_option("--role", fitAsked.role, "of this role only");
   fitting->add_option("--metric", fitAsked.metric, "this figure only");
   fitting->callback([&] { code = fitAll(fitAsked); });
+  CompareAsked compareAsked;
+  CLI::App* comparing = app.add_subcommand("compare", "hollow supervisors' slopes beside real ones'");
+  comparing->add_option("results", compareAsked.file, "of a sweep with real supervisors")->required();
+  comparing->add_option("--variable", compareAsked.variable, "what was swept")->required();
+  comparing->add_option("--tolerance", compareAsked.tolerance, "by which slopes may differ, as a share")
+      ->capture_default_str();
+  comparing->callback([&] { code = compare(compareAsked); });
   app.add_subcommand("settings", "list what a scenario's file may hold")->callback([] {
     std::cout << settingsTable();
   });
--- a/scale/relaypart.cpp
+++ b/scale/relaypart.cpp
@@ -93,7 +93,7 @@
                                  scenario.requests / sizes.proxies / sizes.supervisors, true};
     for (int k = 0; k < sizes.slices; ++k) {
       const int slice = firstSlice(scenario, number) + k;
-      const std::string home = serverName(scenario, slice % sizes.servers);
+      const std::string home = serverName(scenario, homeOf(scenario, number, k));
       store.relay->slices[slice] = {{home, "1"}};
       proxies_.hold(slice, home, "1");
     }
--- a/scale/scenario.h
+++ b/scale/scenario.h
@@ -48,7 +48,7 @@
   std::uint64_t seed = 1;
   Sizes sizes;
   Micros reportsEvery = 1000000;
-  int reported = 0;             // servers that a collector reports in a period, by turns; 0: all
+  int reported = 0;             // servers of its service that a supervisor is told of; 0: all there are
   double requests = 1000;       // a second, over all servers
   double changesPerMinute = 0;  // entries of the list, one at a time
   Micros warmUp = 3000000, measured = 5000000, bound = 120000000;
--- a/scale/world.cpp
+++ b/scale/world.cpp
@@ -14,6 +14,13 @@
 
 std::string zoneName(int number) { return "zone" + std::to_string(number); }
 int zoneOf(const Scenario& s, int number) { return number % s.sizes.zones; }
+int serviceOf(const Scenario& s, int supervisor) { return supervisor % s.sizes.services; }
+int serverOf(const Scenario& s, int service, int place) {
+  return (service + place * s.sizes.services) % s.sizes.servers;
+}
+int homeOf(const Scenario& s, int supervisor, int place) {
+  return serverOf(s, serviceOf(s, supervisor), supervisor / s.sizes.services * s.sizes.slices + place);
+}
 int firstSlice(const Scenario& s, int supervisor) { return supervisor * s.sizes.slices; }
 int slicesInAll(const Scenario& s) { return s.sizes.supervisors * s.sizes.slices; }
 
--- a/scale/world.h
+++ b/scale/world.h
@@ -21,6 +21,11 @@
 std::string zoneName(int number);
 // Of the servers and of the proxies alike.
 int zoneOf(const Scenario& scenario, int number);
+// A supervisor directs one service; the servers of it, by their place among them.
+int serviceOf(const Scenario& scenario, int supervisor);
+int serverOf(const Scenario& scenario, int service, int place);
+// Where a slice of a supervisor is at first, by its place among its slices.
+int homeOf(const Scenario& scenario, int supervisor, int place);
 // The slices of a supervisor are numbered from this one on.
 int firstSlice(const Scenario& scenario, int supervisor);
 int slicesInAll(const Scenario& scenario);
