The pace of hollow supervisors is told: a machine too slow for a run says so

Need: at full size on a busy machine supervisors got 1.8 cores of the 4.4 that they want; their shares of a core looked better than they are.

Change: timers_per_s of the module, and the property 'supervisors keep their pace'.

--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -21,6 +21,9 @@
 constexpr double kSocketGrace = 0.3;       // s; the rules on sockets grant it beside the settings' figures
 constexpr double kReaderBehind = 1 << 20;  // bytes; who is so far behind at the relay is cut off
 constexpr double kUnread = 128 << 10;  // bytes; who leaves so much unread is reset, by the protocol's page
+constexpr double kTimersASecond = 4;   // the module's sweep
+constexpr double kPaceLeast = 0.75;    // of them; fewer, and the machine is too slow for the run
+constexpr Micros kPaceFrom = 2000000;  // shorter measurements have too few of them
 constexpr double kPeriodsUnread = 3;   // of a collector
 
 net::Address local(double port) { return {"127.0.0.1", static_cast<std::uint16_t>(port)}; }
@@ -223,6 +226,11 @@
   if (!reals_.empty()) report.records.push_back(reals(from, to));
   for (Record& record : others(from, to)) report.records.push_back(std::move(record));
   report.properties = properties(end);
+  if (scenario_.measured >= kPaceFrom && hollow() > 0) {
+    const double timers = report.records.front().metrics["timers_per_s"];
+    report.properties.push_back({"supervisors keep their pace", timers >= kPaceLeast * kTimersASecond,
+                                 fixed(timers) + " timers a second, of " + fixed(kTimersASecond)});
+  }
   return report;
 }
 
@@ -325,6 +333,7 @@
                                        {"reports_in_messages_per_s", "reports"},
                                        {"news_in_messages_per_s", "news"},
                                        {"calls_per_s", "calls"},
+                                       {"timers_per_s", "timers"},
                                        {"configuration_in_bytes_per_s", "configuration_in_bytes"},
                                        {"configuration_in_messages_per_s", "configuration_in_messages"}})
       m[name] += grown(begin, to.machines[k], figure) / span / members;
--- a/scale/machinepart.cpp
+++ b/scale/machinepart.cpp
@@ -58,7 +58,9 @@
     onList(member, *news);
   else if (const auto* told = std::get_if<OrdersTold>(&event))
     member.missed += !told->taken;
-  else if (!std::holds_alternative<TimerFired>(event))
+  else if (std::holds_alternative<TimerFired>(event))
+    ++member.timers;
+  else
     ++member.news;
 }
 
@@ -94,6 +96,7 @@
   f["configuration_in_bytes"] = {static_cast<double>(configurationBytes_)};
   f["configuration_in_messages"] = {static_cast<double>(configurationReads_)};
   double events = 0, reports = 0, news = 0, lists = 0, missed = 0, connections = 0, calls = 0, lost = 0;
+  double timers = 0;
   Micros without = 0;
   const Micros now = net::steadyNow();
   for (const auto& m : members_) {
@@ -102,6 +105,7 @@
     news += static_cast<double>(m->news);
     lists += static_cast<double>(m->lists);
     missed += static_cast<double>(m->missed);
+    timers += static_cast<double>(m->timers);
     connections += static_cast<double>(m->node->connections());
     calls += static_cast<double>(m->node->calls().calls);
     lost += static_cast<double>(m->node->calls().lost);
@@ -112,6 +116,7 @@
   f["reports"] = {reports};
   f["news"] = {news};
   f["lists"] = {lists};
+  f["timers"] = {timers};
   f["replies_missed"] = {missed};
   f["orders_lost"] = {lost};
   f["calls"] = {calls};
--- a/scale/machinepart.h
+++ b/scale/machinepart.h
@@ -42,7 +42,7 @@
     std::vector<std::pair<std::int64_t, Micros>> told;  // revisions, and when the module was given them
     Micros withoutSince = 0, withoutMost = 0;           // it has no list, or its watch has failed
     std::unordered_map<std::string, bool> view;         // server -> drains; if checked
-    std::uint64_t events = 0, reports = 0, news = 0, lists = 0, missed = 0;
+    std::uint64_t events = 0, reports = 0, news = 0, lists = 0, missed = 0, timers = 0;
   };
   void onEvent(Member& member, const peargrade::Event& event);
   void onList(Member& member, const ListNews& news);
