--- a/scale/fit.cpp
+++ b/scale/fit.cpp
@@ -12,15 +12,18 @@
 constexpr std::size_t kValuesLeast = 5;
 constexpr double kFlatRise = 0.05;       // over the whole range, as a share of the mean
 constexpr double kSmallResidual = 0.03;  // a line that leaves less over is one
-constexpr double kCurve = 0.1;           // share of the mean that the bend of a parabola has to explain
+constexpr double kPowerMargin = 0.15;    // powers that count as 1
+constexpr double kMuchLess = 0.7;        // of what the line leaves over
+constexpr double kPowerLeast = 0.25, kPowerMost = 3, kPowerStep = 0.05;
 
-// Coefficients of 1, x, x^2 ... by least squares. x is scaled, so that high powers stay in range.
-Eigen::VectorXd polynomial(const std::vector<Point>& points, int degree, double scale) {
-  Eigen::MatrixXd powers(static_cast<Eigen::Index>(points.size()), degree + 1);
+// a and b of y = a + b (x / scale)^power by least squares.
+Eigen::Vector2d curve(const std::vector<Point>& points, double power, double scale) {
+  Eigen::MatrixXd powers(static_cast<Eigen::Index>(points.size()), 2);
   Eigen::VectorXd values(static_cast<Eigen::Index>(points.size()));
   for (Eigen::Index i = 0; i < values.size(); ++i) {
     const Point& point = points[static_cast<std::size_t>(i)];
-    for (int k = 0; k <= degree; ++k) powers(i, k) = std::pow(point.x / scale, k);
+    powers(i, 0) = 1;
+    powers(i, 1) = std::pow(point.x / scale, power);
     values(i) = point.y;
   }
   return powers.colPivHouseholderQr().solve(values);
@@ -32,15 +35,11 @@
   return values.empty() ? 0 : std::sqrt(sum / static_cast<double>(values.size()));
 }
 
-// The power in y ~ x^power between the ends of the range, beside the part that does not grow.
-double powerOf(const std::map<double, double>& means, double base) {
-  std::vector<Point> logs;
-  for (const auto& [x, y] : means) {
-    if (x > 0 && y - base > 0) logs.push_back({std::log(x), std::log(y - base)});
-  }
-  if (logs.size() < 3) return 1;
-  const Eigen::VectorXd line = polynomial(logs, 1, 1);
-  return line(1);
+// What a curve leaves over: root of the mean square.
+double leftOver(const std::vector<Point>& points, const Eigen::Vector2d& of, double power, double scale) {
+  std::vector<double> left;
+  for (const Point& p : points) left.push_back(p.y - of(0) - of(1) * std::pow(p.x / scale, power));
+  return rootMeanSquare(left);
 }
 
 }  // namespace
@@ -49,6 +48,8 @@
   switch (growth) {
     case Growth::Flat:
       return "flat";
+    case Growth::Falls:
+      return "falls";
     case Growth::Linear:
       return "linear";
     case Growth::BelowLinear:
@@ -76,33 +77,36 @@
     mean += means[x] / static_cast<double>(byX.size());
   }
   const double scale = byX.rbegin()->first == 0 ? 1 : byX.rbegin()->first;
-  const Eigen::VectorXd line = polynomial(points, 1, scale), bent = polynomial(points, 2, scale);
+  const Eigen::Vector2d line = curve(points, 1, scale);
   Fit f;
   f.points = points.size();
   f.values = byX.size();
   f.base = line(0);
   f.slope = line(1) / scale;
   const double size = std::max(std::abs(mean), 1e-300);
-  std::vector<double> left;
-  for (const Point& p : points) left.push_back(p.y - f.base - f.slope * p.x);
-  f.residual = rootMeanSquare(left) / size;
+  const double lineLeaves = leftOver(points, line, 1, scale);
+  f.residual = lineLeaves / size;
   f.noise = rootMeanSquare(scatter) / size;
   for (const auto& [x, y] : means) {
     const double off = (y - f.base - f.slope * x) / size;
     if (std::abs(off) > std::abs(f.worst)) f.worst = off, f.worstAt = x;
   }
-  f.power = powerOf(means, std::min(bent(0), means.begin()->second * 0.999));
-  const double range = byX.rbegin()->first - byX.begin()->first;
-  const double rise = f.slope * range / size;
-  // The bend, as the largest part of the parabola that no line has: a quarter of its factor in the middle.
-  const double span = range / scale;
-  const double bend = bent(2) * span * span / 4 / size;
-  if (std::abs(rise) < std::max(kFlatRise, 2 * f.noise) && std::abs(bend) < std::max(kFlatRise, 2 * f.noise))
+  double least = lineLeaves;
+  for (double power = kPowerLeast; power <= kPowerMost; power += kPowerStep) {
+    const double leaves = leftOver(points, curve(points, power, scale), power, scale);
+    if (leaves < least) least = leaves, f.power = power;
+  }
+  const double rise = f.slope * (byX.rbegin()->first - byX.begin()->first) / size;
+  const bool curved =
+      f.residual >= kSmallResidual && std::abs(f.power - 1) > kPowerMargin && least < kMuchLess * lineLeaves;
+  if (std::abs(rise) < std::max(kFlatRise, 2 * f.noise))
     f.growth = Growth::Flat;
-  else if (f.residual < kSmallResidual || std::abs(bend) < std::max(kCurve, 2 * f.noise))
+  else if (rise < 0)
+    f.growth = Growth::Falls;
+  else if (!curved)
     f.growth = Growth::Linear;
   else
-    f.growth = bend > 0 ? Growth::AboveLinear : Growth::BelowLinear;
+    f.growth = f.power > 1 ? Growth::AboveLinear : Growth::BelowLinear;
   return f;
 }
 
--- a/scale/fit.h
+++ b/scale/fit.h
@@ -12,9 +12,10 @@
 };
 
 enum class Growth {
-  Flat,         // the line explains less than the noise, or rises by under a twentieth over the range
-  Linear,       // the power is 1 within kPowerMargin, or the line leaves little over
-  BelowLinear,  // beside a fixed part it grows more slowly than the variable
+  Flat,         // the line rises or falls by less than twice the noise, or than a twentieth of the mean
+  Falls,        // it becomes less
+  Linear,       // the line leaves little over, or no power of the variable leaves much less
+  BelowLinear,  // it grows more slowly than the variable
   AboveLinear,  // it grows faster than the variable
 };
 const char* nameOf(Growth growth);
--- a/tests/scale/fit_test.cpp
+++ b/tests/scale/fit_test.cpp
@@ -29,7 +29,10 @@
   EXPECT_EQ(square.growth, Growth::AboveLinear);
   EXPECT_NEAR(square.power, 2, 0.1);
   EXPECT_EQ(fit(points([](double x) { return std::sqrt(x); })).growth, Growth::BelowLinear);
+  EXPECT_EQ(fit(points([](double x) { return std::pow(x, 1.5); })).growth, Growth::AboveLinear);
+  EXPECT_EQ(fit(points([](double x) { return 3 + std::pow(x, 1.05); })).growth, Growth::Linear);
   EXPECT_EQ(fit(points([](double) { return 7.0; })).growth, Growth::Flat);
+  EXPECT_EQ(fit(points([](double x) { return 100 / x; })).growth, Growth::Falls);
 }
 
 TEST(Fit, NeedsFiveValues) {
