Rules count while a supervisor is there; a part that ends by itself is noticed

Need: a drain told while a control machine was dead counted against it; a crashed part showed only as a run out of time; the allocation count broke the sanitizer build.

--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -141,9 +141,7 @@
 
 // Every supervisor is seen by discovery, by its relay and by every collector, and has its list.
 bool Fleet::up() {
-  for (const auto& real : reals_) {
-    if (real->ended()) throw Failed("a real supervisor has ended by itself");
-  }
+  check();
   const Figures watches = discovery_->ask("watches");
   if (one(watches, "first") + one(watches, "second") < scenario_.sizes.supervisors) return false;
   if (one(relay_->ask("watches"), "standing") < scenario_.sizes.supervisors) return false;
@@ -156,8 +154,20 @@
   return listed >= hollow();
 }
 
+// That no part has ended by itself.
+void Fleet::check() {
+  for (const auto& real : reals_) {
+    if (real->ended()) throw Failed("a real supervisor has ended by itself");
+  }
+  for (const auto& machine : machines_) {
+    if (machine) machine->check();
+  }
+  for (Child* child : {discovery_.get(), relay_.get(), collectors_.get()}) child->check();
+}
+
 void Fleet::until(const char* what, const std::function<bool()>& holds) {
   while (!holds()) {
+    check();
     if (net::steadyNow() >= deadline_)
       throw OutOfTime(std::string(what) + ": not done by the end of the run's time");
     std::this_thread::sleep_for(std::chrono::microseconds(kPoll));
@@ -267,11 +277,10 @@
 }
 
 void Fleet::kill(const Step& step) {
-  // The last machine that stands.
-  auto machine = machines_.size();
-  while (machine > 0 && !machines_[machine - 1]) --machine;
-  if (machine == 0) return;
-  --machine;
+  const auto standing =
+      std::find_if(machines_.begin(), machines_.end(), [](const auto& m) { return m != nullptr; });
+  if (standing == machines_.end()) return;
+  const auto machine = static_cast<std::size_t>(standing - machines_.begin());
   machines_[machine]->kill();
   machines_[machine].reset();
   for (const int k : onMachine_[machine]) collectors_->ask("gone " + std::to_string(k));
--- a/scale/fleet.h
+++ b/scale/fleet.h
@@ -49,6 +49,7 @@
   void startMachine(std::size_t machine);
   void meet(const std::vector<int>& supervisors);
   bool up();
+  void check();
   void until(const char* what, const std::function<bool()>& holds);
   void pass(Micros until);
   Sample sample();
--- a/scale/meters.cpp
+++ b/scale/meters.cpp
@@ -22,6 +22,11 @@
   if (void* memory = std::malloc(size == 0 ? 1 : size)) return memory;
   throw std::bad_alloc();
 }
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
+  allocated.fetch_add(1, std::memory_order_relaxed);
+  return std::malloc(size == 0 ? 1 : size);
+}
+void operator delete(void* memory, const std::nothrow_t&) noexcept { std::free(memory); }
 void operator delete(void* memory) noexcept { std::free(memory); }
 void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
 
--- a/scale/part.cpp
+++ b/scale/part.cpp
@@ -138,6 +138,13 @@
   process_ = -1;
 }
 
+void Child::check() {
+  if (process_ <= 0 || waitpid(process_, nullptr, WNOHANG) != process_) return;
+  close(socket_);
+  process_ = -1;
+  throw Failed(name_ + ": has ended by itself");
+}
+
 Figures Child::ask(const std::string& words) {
   tell(words);
   return answer();
--- a/scale/part.h
+++ b/scale/part.h
@@ -54,6 +54,8 @@
   // Of several at once: all are told before the first answer is waited for.
   void tell(const std::string& words);
   Figures answer();
+  // Throws Failed where it has ended by itself.
+  void check();
   // Ends it without warning, as a machine that loses its power.
   void kill();
   const std::string& name() const { return name_; }
--- a/scale/relaypart.cpp
+++ b/scale/relaypart.cpp
@@ -10,7 +10,8 @@
 namespace peargrade::scale {
 namespace {
 
-constexpr Micros kTick = 50000;  // answers to marks and the rules are looked at so often
+constexpr Micros kAnsweredFor = 1000000;  // that a supervisor is there before the rules count
+constexpr Micros kTick = 50000;           // answers to marks and the rules are looked at so often
 
 double threadSeconds() {
   timespec t{};
@@ -138,26 +139,36 @@
 }
 
 // A slice is bare while none of its lines leads to a server that takes work; a line to one that drains may
-// stand for the grace.
+// stand for the grace. By the protocol's page both count no earlier than 1 s after the supervisor first
+// answered.
 void RelayPart::look() {
-  if (leaving_.empty()) return;
   const Micros now = net::steadyNow();
   for (Store& store : stores_) {
-    for (const auto& [slice, lines] : store.relay->slices) {
-      bool usable = false;
-      for (const auto& [server, weight] : lines) {
-        const auto leaving = leaving_.find(server);
-        usable = usable || leaving == leaving_.end();
-        if (leaving != leaving_.end() && store.shut.count(server) == 0)
-          staleMost_ = std::max(staleMost_, now - leaving->second);
-      }
-      if (usable) {
-        store.bareSince.erase(slice);
-        continue;
-      }
-      const Micros since = store.bareSince.emplace(slice, now).first->second;
-      bareMost_ = std::max(bareMost_, now - since);
+    if (store.relay->open() == 0) {
+      store.rulesFrom = 0;
+      store.bareSince.clear();
+    } else if (store.rulesFrom == 0) {
+      store.rulesFrom = now + kAnsweredFor;
+    }
+    if (!leaving_.empty() && store.rulesFrom != 0 && now >= store.rulesFrom) lookAt(store, now);
+  }
+}
+
+void RelayPart::lookAt(Store& store, Micros now) {
+  for (const auto& [slice, lines] : store.relay->slices) {
+    bool usable = false;
+    for (const auto& [server, weight] : lines) {
+      const auto leaving = leaving_.find(server);
+      usable = usable || leaving == leaving_.end();
+      if (leaving != leaving_.end() && store.shut.count(server) == 0)
+        staleMost_ = std::max(staleMost_, now - std::max(leaving->second, store.rulesFrom));
+    }
+    if (usable) {
+      store.bareSince.erase(slice);
+      continue;
     }
+    const Micros since = store.bareSince.emplace(slice, now).first->second;
+    bareMost_ = std::max(bareMost_, now - since);
   }
 }
 
--- a/scale/relaypart.h
+++ b/scale/relaypart.h
@@ -49,6 +49,7 @@
     std::unique_ptr<standins::Relay> relay;
     std::deque<Micros> calls;         // within the span of the settings
     std::map<int, Micros> bareSince;  // slices without a usable line
+    Micros rulesFrom = 0;             // its supervisor is there, and the rules count; 0: it is not
     double waiting = 0;               // lines in the channel
     std::set<std::string> shut;       // servers whose lines are not used
   };
@@ -62,6 +63,7 @@
   void onCall(std::size_t number, const std::string& orders);
   void onDue();
   void look();  // at what the rules bound
+  void lookAt(Store& store, Micros now);
   Figures sample();
 
   const Scenario& scenario_;
