A machine that came back is told by its process, not by what it spent

Need: calls per second came out negative where a machine had been lost. Change: samples hold the processes.

--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -206,6 +206,7 @@
   s.collectors = collectors_->answer();
   for (const auto& machine : machines_) {
     s.machines.push_back(machine ? machine->answer() : Figures{});
+    s.processes.push_back(machine ? machine->process() : -1);
     withoutMost_ = std::max(withoutMost_, one(s.machines.back(), "without_list_most_s"));
   }
   return s;
@@ -334,7 +335,7 @@
   for (std::size_t k = 0; k < to.machines.size(); ++k) {
     if (from.machines[k].empty() || to.machines[k].empty()) continue;
     // One that was lost and came back began anew.
-    const bool anew = grown(from.machines[k], to.machines[k], "cpu_s") < 0;
+    const bool anew = from.processes[k] != to.processes[k];
     const Figures& begin = anew ? Figures{} : from.machines[k];
     for (const auto& [name, figure] : {std::pair<const char*, const char*>{"cpu_share", "cpu_s"},
                                        {"allocations_per_s", "allocations"},
@@ -428,8 +429,9 @@
   Record configuration = record("configuration", span);
   double bytes = 0, messages = 0, held = 0;
   for (std::size_t k = 0; k < to.machines.size(); ++k) {
-    bytes += grown(from.machines[k], to.machines[k], "configuration_in_bytes");
-    messages += grown(from.machines[k], to.machines[k], "configuration_in_messages");
+    const Figures& begin = from.processes[k] == to.processes[k] ? from.machines[k] : Figures{};
+    bytes += grown(begin, to.machines[k], "configuration_in_bytes");
+    messages += grown(begin, to.machines[k], "configuration_in_messages");
   }
   for (int k = 0; k < scenario_.sizes.supervisors; ++k) {
     const auto at = static_cast<std::size_t>(k);
--- a/scale/fleet.h
+++ b/scale/fleet.h
@@ -37,6 +37,7 @@
     Micros at = 0;
     Figures discovery, relay, collectors;
     std::vector<Figures> machines;
+    std::vector<pid_t> processes;  // of the machines; -1: lost
     std::vector<Spent> reals;
   };
   struct Changed {
