Zone sources: no arrow back to src/sources; the source split by job

src/zones included src/sources/front.h for what a source works with, while src/sources builds and runs the zone sources. No change of behaviour.

--- a/src/sources/front.h
+++ b/src/sources/front.h
@@ -13,6 +13,7 @@
 #include "exchange/exchange.h"
 #include "log/log.h"
 #include "operator/operator.h"
+#include "zones/commands.h"
 
 namespace peargrade::sources {
 
@@ -39,14 +40,7 @@
   virtual void explain() = 0;
 };
 
-struct ZoneAsked {
-  std::string verb;  // check, show, diff, update, accept
-  std::vector<std::string> files;
-  std::string origin, folder, server, key, state, label;
-  std::uint32_t serial = 0;
-  bool json = false, tcp = false;
-  Micros within = 5000000;
-};
+using zones::ZoneAsked;
 struct LookupAsked {
   std::string name;
   std::vector<std::string> servers;
--- a/src/sources/sources.cpp
+++ b/src/sources/sources.cpp
@@ -55,8 +55,10 @@
     labels_.push_back("srv " + srv.label);
   }
   if (!around_.op->zones.empty()) worker_ = std::make_unique<zones::Worker>(around_.base);
+  const zones::Context zoneContext{around_.base, around_.names, around_.log, around_.clock,
+                                   around_.op->merge.firstAnswerWarm};
   for (const op::Zone& zone : around_.op->zones) {
-    zones_.emplace_back(around_, zone, number++, *worker_,
+    zones_.emplace_back(zoneContext, zone, number++, *worker_,
                         [this](const membership::Observation& o) { observe(o); });
     labels_.push_back("zone " + zone.label);
   }
--- a/src/zones/commands.cpp
+++ b/src/zones/commands.cpp
@@ -18,9 +18,9 @@
 #include "zone/master.h"
 #include "zone/tsig.h"
 #include "zone/update.h"
+#include "zones/disk.h"
 #include "zones/keyfile.h"
 #include "zones/script.h"
-#include "zones/zonesource.h"
 
 namespace peargrade::zones {
 namespace {
@@ -277,7 +277,7 @@
 
 // Left in the folder of the state, where the supervisor finds it when it looks at the zone file next.
 int accept(const ZoneAsked& asked) {
-  const std::string path = asked.state + "/" + asked.label + ".accept";
+  const std::string path = acceptMarkerPath(asked.state, asked.label);
   std::ofstream out(path, std::ios::trunc);
   out << asked.serial << '\n';
   out.close();
--- /dev/null
+++ b/src/zones/disk.cpp
@@ -0,0 +1,146 @@
+#include "zones/disk.h"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace peargrade::zones {
+namespace {
+
+constexpr std::size_t kFileMost = std::size_t{256} << 20;
+
+// Differs once one of the files was replaced or changed.
+std::string signatureOf(const std::string& folder, const std::vector<std::string>& files) {
+  std::ostringstream text;
+  for (const std::string& file : files) {
+    struct stat about {};
+    std::string path = folder;
+    path.append("/").append(file);
+    text << file << ' ';
+    if (stat(path.c_str(), &about) != 0)
+      text << "gone;";
+    else
+      text << about.st_ino << ' ' << about.st_size << ' ' << about.st_mtim.tv_sec << '.'
+           << about.st_mtim.tv_nsec << ';';
+  }
+  return text.str();
+}
+
+// The file itself and, as the last signature lists them, the files that it included then.
+std::vector<std::string> filesIn(const std::string& signature, const std::string& first) {
+  std::vector<std::string> names = {first};
+  std::istringstream parts(signature);
+  for (std::string part; std::getline(parts, part, ';');) {
+    const std::string name = part.substr(0, part.find(' '));
+    if (std::find(names.begin(), names.end(), name) == names.end()) names.push_back(name);
+  }
+  return names;
+}
+
+void readContents(const op::Zone& zone, const files::Store::Contents& contents, StoredZone& stored) {
+  using Found = files::Store::Found;
+  stored.notes = contents.notes;
+  stored.damaged =
+      contents.found == Found::Newer || contents.found == Found::Damaged || contents.found == Found::Failed;
+  if (contents.found != Found::Whole) return;
+  stored.image = zone::decodeImage(contents.snapshot);
+  if (!stored.image || stored.image->zone.origin() != zone.origin) {
+    stored.errors.push_back(zone.state + ": holds another zone, or one that cannot be read");
+    stored.image.reset();
+    stored.damaged = true;
+    return;
+  }
+  for (const std::string& change : contents.changes) {
+    if (auto step = zone::decodeStep(change)) stored.steps.push_back(std::move(*step));
+  }
+}
+
+Written writtenTo(const DiskStore& disk, files::Outcome outcome) {
+  return {std::move(outcome), disk.store->journalBytes(), disk.store->snapshotBytes()};
+}
+
+Written noStore() { return {files::Outcome{false, false, "there is no store"}, 0, 0}; }
+
+}  // namespace
+
+StoredZone openStore(const op::Zone& zone, DiskStore& disk) {
+  StoredZone stored;
+  if (zone.state.empty()) return stored;
+  files::Outcome outcome;
+  disk.files = files::openFolder(zone.state, true, outcome);
+  if (!disk.files) {
+    stored.errors.push_back(outcome.why);
+    stored.damaged = true;
+    return stored;
+  }
+  disk.store = std::make_unique<files::Store>(*disk.files, zone.label, zone::kImageVersion);
+  readContents(zone, disk.store->open(), stored);
+  return stored;
+}
+
+Written appendSteps(DiskStore& disk, const std::vector<std::string>& steps) {
+  return disk.store ? writtenTo(disk, disk.store->append(steps)) : noStore();
+}
+
+Written writeSnapshot(DiskStore& disk, const std::string& image) {
+  return disk.store ? writtenTo(disk, disk.store->compact(image)) : noStore();
+}
+
+FileReading readIfChanged(const op::Zone& zone, const std::string& last, bool always) {
+  FileReading found;
+  found.accepted = acceptedSerial(zone);
+  found.signature = signatureOf(zone.folder, filesIn(last, zone.file));
+  if (!always && !found.accepted && found.signature == last) return found;
+  found.reading = zone::readMaster(zone.file, zone.origin, readerOf(zone.folder));
+  const std::vector<std::string>& read = found.reading->files;
+  found.signature = signatureOf(zone.folder, read.empty() ? std::vector<std::string>{zone.file} : read);
+  return found;
+}
+
+std::string acceptMarkerPath(const std::string& stateFolder, const std::string& label) {
+  return stateFolder + "/" + label + ".accept";
+}
+
+std::optional<std::uint32_t> acceptedSerial(const op::Zone& zone) {
+  if (zone.state.empty()) return std::nullopt;
+  std::ifstream marker(acceptMarkerPath(zone.state, zone.label));
+  std::uint32_t serial = 0;
+  if (marker >> serial) return serial;
+  return std::nullopt;
+}
+
+zone::ReadFile readerOf(const std::string& folder) {
+  return [folder](const std::string& path, std::string& text, std::string& why) {
+    namespace fs = std::filesystem;
+    std::error_code error;
+    const fs::path base = fs::canonical(folder, error);
+    const fs::path file = error ? fs::path() : fs::canonical(base / path, error);
+    if (error) {
+      why = error.message();
+      return false;
+    }
+    const std::string within = base.string() + "/";
+    if (file.string().compare(0, within.size(), within) != 0) {
+      why = "it lies out of the folder";
+      return false;
+    }
+    if (!fs::is_regular_file(file, error) || fs::file_size(file, error) > kFileMost) {
+      why = "no file of at most 256 MiB";
+      return false;
+    }
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream all;
+    all << in.rdbuf();
+    if (!in || in.bad()) {
+      why = "cannot be read";
+      return false;
+    }
+    text = all.str();
+    return true;
+  };
+}
+
+}  // namespace peargrade::zones
--- a/src/zones/zonesource.h
+++ b/src/zones/zonesource.h
@@ -3,14 +3,14 @@
 // files::Store.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <optional>
 
-#include "files/store.h"
-#include "sources/front.h"
 #include "zone/acceptor.h"
 #include "zone/keeper.h"
-#include "zone/master.h"
+#include "zones/context.h"
+#include "zones/disk.h"
 #include "zones/follower.h"
 #include "zones/listener.h"
 #include "zones/offer.h"
@@ -23,7 +23,7 @@
   using Observe = std::function<void(const membership::Observation&)>;
 
   // `number`: of the source at the membership.
-  ZoneSource(const sources::Surroundings& around, const op::Zone& zone, std::size_t number, Worker& worker,
+  ZoneSource(const Context& around, const op::Zone& zone, std::size_t number, Worker& worker,
              Observe observe);
   ~ZoneSource();
   ZoneSource(const ZoneSource&) = delete;
@@ -43,36 +43,49 @@
   const Follower* follower() const { return follower_.get(); }
 
  private:
-  // What the worker found on the disk. Shared with the worker's thread; only one side holds it at a time.
-  struct Disk;
-  struct FromFile;
+  static constexpr Micros kForEver =
+      std::numeric_limits<Micros>::max() / 4;    // no expiry: a zone of one's own
+  static constexpr Micros kGather = 20000;       // changes of a burst become one change of the list
+  static constexpr std::size_t kLinesMost = 10;  // in the log for one state of the zone
 
+  // ---- zonesource.cpp: the start, and a new zone in place of the old one ----
   void load();
-  void loaded(const std::shared_ptr<FromFile>& found);
-  void look(bool always);
-  void looked(const std::shared_ptr<FromFile>& found);
+  void loaded(StoredZone& stored);
+  void restore(StoredZone& stored);
+  zone::Zone emptyZone() const;
   void take(zone::Zone zone, zone::Judgement judgement);
+  // ---- zonesource_file.cpp: the zone file ----
+  void look(bool always);
+  void looked(const FileReading& found);
+  void tellMistakes(const std::vector<zone::Mistake>& mistakes);
+  // ---- zonesource_primary.cpp: transfers and notices ----
   void follow();
   bool came(const zone::Zone& zone);
   void fresh();
   void onNotify(const std::string& message, const std::string& peer, const Listener::Reply& reply);
+  // ---- zonesource_updates.cpp: dynamic updates ----
   void listen();
   void onMessage(const std::string& message, const std::string& peer, Listener::Reply reply);
   void refused(const zone::Acceptor::Taken& taken, const std::string& peer);
+  // ---- zonesource_store.cpp: batches and snapshots ----
   void writeNext();
   void written(const files::Outcome& outcome);
   void compact();
+  void compacted(const Written& result);
+  void takeNext();
+  // ---- zonesource_publish.cpp: what the membership is told ----
   void publish();
+  void tellNotes(const std::vector<std::string>& all);
   std::int64_t unixNow() const { return around_.clock() / 1000000; }
   zone::AcceptorSettings settings() const;
 
-  const sources::Surroundings around_;
+  const Context around_;
   const op::Zone& op_;
   const std::size_t number_;
   Worker& worker_;
   Observe observe_;
   const places::Places places_;
-  std::shared_ptr<Disk> disk_;
+  std::shared_ptr<DiskStore> disk_;  // of the worker's thread; only passed on here
   zone::Keeper keeper_;
   std::unique_ptr<zone::Acceptor> acceptor_;
   zone::Ages ages_;
@@ -97,7 +110,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-// Reads a zone file within its folder; links out of it are refused.
-zone::ReadFile readerOf(const std::string& folder);
-
 }  // namespace peargrade::zones
--- /dev/null
+++ b/src/zones/zonesource_primary.cpp
@@ -0,0 +1,66 @@
+// ZoneSource as a secondary: transfers taken in, NOTIFY messages answered (RFC 1996).
+#include <cstdio>
+
+#include "zones/zonesource.h"
+
+namespace peargrade::zones {
+
+void ZoneSource::follow() {
+  Follower::Handlers handlers;
+  handlers.held = [this] { return zone(); };
+  handlers.came = [this](const zone::Zone& zone) { return came(zone); };
+  handlers.fresh = [this] { fresh(); };
+  follower_ = std::make_unique<Follower>(around_.base, op_.label, op_.origin, op_.primaries, around_.clock,
+                                         *around_.log, Follower::Limits{}, std::move(handlers));
+  follower_->begin(freshAt_);
+}
+
+bool ZoneSource::came(const zone::Zone& zone) {
+  if (zone.find(op_.origin, zone::Type::SOA) == nullptr) return false;
+  const zone::Zone* now = this->zone();
+  // Read when a transfer is at hand, which is seldom.
+  const std::optional<std::uint32_t> accepted = acceptedSerial(op_);
+  const zone::Judgement judgement = keeper_.judge(now, zone, accepted);
+  if (const auto text = keeper_.tell(judgement, now, zone)) around_.log->error("zones") << *text;
+  if (judgement == zone::Judgement::Same) return true;
+  if (!zone::takes(judgement)) return false;
+  if (accepted) std::remove(acceptMarkerPath(op_.state, op_.label).c_str());
+  freshAt_ = freshStored_ = around_.clock();
+  take(zone, judgement);
+  return true;
+}
+
+// The primary has nothing newer: what is held is good for longer. Written down now and then, so that a
+// restart knows.
+void ZoneSource::fresh() {
+  freshAt_ = around_.clock();
+  publishSoon_.in(0);
+  if (op_.state.empty() || broken_ || !acceptor_) return;
+  const Micros expire = static_cast<Micros>(zone()->soa().expire) * 1000000;
+  if (freshAt_ - freshStored_ < expire / 8) return;
+  freshStored_ = freshAt_;
+  compact();
+}
+
+// From a primary, answered at once (RFC 1996, section 3.7); what it says of the serial is looked up, not
+// believed.
+void ZoneSource::onNotify(const std::string& message, const std::string& peer, const Listener::Reply& reply) {
+  const auto m = zone::decodeMessage(message);
+  if (!m || m->response) return;
+  zone::Message answer;
+  answer.id = m->id;
+  answer.response = answer.authoritative = true;
+  answer.opcode = zone::Opcode::Notify;
+  answer.hasQuestion = m->hasQuestion;
+  answer.name = m->name;
+  answer.type = m->type;
+  const bool ours = follower_ && m->hasQuestion && m->name == op_.origin &&
+                    follower_->notified(peer.substr(0, peer.rfind(':')));
+  if (!ours) {
+    answer.rcode = zone::Rcode::Refused;
+    around_.log->debug("zones") << op_.label << ": notice of " << peer << " refused";
+  }
+  reply(zone::encodeMessage(answer));
+}
+
+}  // namespace peargrade::zones
--- /dev/null
+++ b/src/zones/zonesource_publish.cpp
@@ -0,0 +1,44 @@
+// ZoneSource and the membership: the servers that the zone offers now, each with the time since when it does.
+#include "zones/zonesource.h"
+
+namespace peargrade::zones {
+
+void ZoneSource::publish() {
+  if (!acceptor_) return;
+  const Micros now = around_.clock();
+  const auto offered = [&](const std::set<std::string>& drained) {
+    const Micros until = follower_ && follower_->expiresAt() != 0 ? follower_->expiresAt() : kForEver;
+    return offerOf(acceptor_->durable(), op_.services, places_, *around_.names, number_, now, until, drained);
+  };
+  const auto aged = [&](membership::Observation o) {
+    for (membership::Sighting& s : o.seen) {
+      const bool warm = !published_ && around_.firstAnswerWarm;
+      const Micros since = ages_.of(s.endpoint, warm ? zone::Ages::kLongAgo : now);
+      if (s.startedAt == 0) s.startedAt = since;
+    }
+    return o;
+  };
+  const Offer offer = offered({});
+  ages_.keep(offer.endpoints);
+  // A drain that was taken back within the same burst was a drain all the same: it ends with a new start
+  // only.
+  if (!drained_.empty()) observe_(aged(offered(std::exchange(drained_, {})).observation));
+  tellNotes(offer.notes);
+  observe_(aged(offer.observation));
+  published_ = true;
+}
+
+// Told when they change.
+void ZoneSource::tellNotes(const std::vector<std::string>& all) {
+  std::string notes;
+  for (const std::string& note : all) notes += note + ";";
+  if (notes == notes_) return;
+  std::size_t told = 0;
+  for (const std::string& note : all) {
+    if (++told > kLinesMost) break;
+    around_.log->warn("zones") << op_.label << ": " << note << " code=attribute";
+  }
+  notes_ = notes;
+}
+
+}  // namespace peargrade::zones
