--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -11,35 +11,15 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "membership/rule.h"
 #include "membership/settings.h"
 #include "peargrade/director.h"
 
 namespace peargrade::membership {
 
-// Why a server stands in the list as it does. docs/membership.md has a paragraph for each.
-enum class Rule {
-  Roster,           // the roster lists it
-  RosterDraining,   // the roster drains it
-  RosterGone,       // the roster took it out, and nothing has shown since that it started again
-  RosterExpired,    // the roster lists it, its record's lifetime is over
-  Records,          // records list it, within their lifetime
-  RecordsDraining,  // records with authority drain it
-  RecordsGone,      // records with authority took it out, and nothing has shown since that it started again
-  Stale,            // its record's lifetime is over; it is kept until the stale bound
-  Leaving,          // past the stale bound or the wait for a second answer: it waits for its step
-  Removed,          // a complete answer no longer lists it
-  Confirm,          // the same, but it would take much of the pool: a second answer is waited for
-  KeepLeast,        // one of the last that there are
-  Standby,          // of a lower tier that is not in use
-  TierLeaving,      // of a lower tier that is not needed any more: it goes in steps
-  FlapHeld,         // came back too often
-  RosterAwaited,    // the roster has not spoken yet
-  TakenBack,        // was gone by the roster, and came anew after that
-};
-const char* codeOf(Rule rule);
-
 struct RosterEntry {
   ServerEntry entry;
   std::string endpoint;  // "10.1.0.18:3000"; "": not told
@@ -171,31 +151,51 @@
     Rule rule = Rule::Roster;
   };
 
+  // ---- roster.cpp ----
+  void unlist(const ServerId& uid, Micros now);
+  void unlistMissing(const std::vector<RosterEntry>& entries, Micros now);
+  void list(const RosterEntry& e);
+  void moveSpot(const ServerId& uid, Listed& listed, const std::string& endpoint);
+  // ---- records.cpp ----
+  Spot* spotAt(const std::string& endpoint);
   bool sight(std::size_t source, const Sighting& s, Micros asOf, bool warm);
+  void noteStart(Spot& spot, const Sighting& s, Micros asOf, bool warm) const;
+  static bool changes(const Spot& spot, const View& view, const Sighting& s, Micros asOf);
+  static void update(View& view, const Source& from, const Sighting& s, Micros asOf);
+  void heed(Spot& spot, const View& view, const Sighting& s);
   void leaveOut(const Observation& o, Micros now);
   void takeOut(const std::string& endpoint, Spot& spot, View& view, Micros asOf);
-  void unlist(const ServerId& uid, Micros now);
-  void moveSpot(const ServerId& uid, Listed& listed, const std::string& endpoint);
+  bool overdue(const View& view, Micros now) const;
+  bool anyPresent(const Spot& spot) const;
+  // ---- tiers.cpp ----
   void recount(std::size_t source, Micros now);
   void retier(Micros now);
+  void touchTier(std::size_t source, int tier);
   Micros startedAgain(const Spot& spot) const;
-  bool overdue(const View& view, Micros now) const;
-  bool drained(const Spot& spot, Micros startedAt) const;
   bool usable(const Spot& spot) const;
-  bool anyPresent(const Spot& spot) const;
-  const View* best(const Spot& spot, Micros now) const;
   double weightOf(const Spot& spot, const View& view) const;
   bool tierNeeded(const Spot& spot, const View& view) const;
+  // ---- wishes.cpp ----
+  const View* best(const Spot& spot, Micros now) const;
+  bool drained(const Spot& spot, Micros startedAt) const;
   void applyTier(const Spot& spot, const View& view, bool told, Wish& wish) const;
+  void applyLifetime(const Spot& spot, const View& view, Micros now, Wish& wish) const;
+  std::optional<std::pair<Rule, Micros>> holdBack(const Spot& spot, Micros now) const;
   Wish rosterWish(const ServerId& uid, const Listed& listed, Micros now) const;
   Wish spotWish(const std::string& endpoint, const Spot& spot, Micros now) const;
+  // ---- changes.cpp ----
   void look(const std::string& endpoint, Micros now, News& news);
   void lookUid(const ServerId& uid, Micros now, News& news);
+  bool waitsForStep(const Spot& spot, const Wish& wish, Micros now) const;
+  void countReturn(Spot& spot, Micros now) const;
   void tell(const ServerId& id, const Wish& wish, News& news);
   void step(Micros now, News& news);
   void queue(const std::string& endpoint, Spot& spot, bool leave, Micros now);
   void wake(const std::string& endpoint, Spot& spot, Micros at);
   void touch(const std::string& endpoint) { dirty_.insert(endpoint); }
+  // ---- explain.cpp ----
+  Explained explained(const ServerId& id, const std::string& endpoint, const Wish& wish, Micros now) const;
+  static std::string textOf(const View& v, Micros now);
 
   Settings settings_;
   bool withRoster_;
