--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -24,6 +24,7 @@
 };
 
 constexpr std::size_t kHeader = 12;
+constexpr std::uint32_t kTtlMost = 0x7FFFFFFF;  // seconds (RFC 2181, section 8)
 constexpr unsigned char kTruncatedBit = 0x02, kResponseBit = 0x80;
 
 std::string textOf(const ldns_rdf* name) {
@@ -35,7 +36,7 @@
 
 std::uint32_t ttlOf(const ldns_rr* rr) {
   const std::uint32_t ttl = ldns_rr_ttl(rr);
-  return ttl > 0x7FFFFFFF ? 0 : ttl;
+  return ttl > kTtlMost ? 0 : ttl;
 }
 
 bool inOrUnder(const std::string& name, const std::string& zone) {
@@ -119,7 +120,7 @@
     if (ldns_rr_get_type(rr) != LDNS_RR_TYPE_SOA || ldns_rr_rd_count(rr) != 7) continue;
     if (!inOrUnder(name, ownerOf(rr))) continue;
     const std::uint32_t least = ldns_rdf2native_int32(ldns_rr_rdf(rr, 6));
-    answer.ttl = std::min(ttlOf(rr), least > 0x7FFFFFFF ? 0 : least);
+    answer.ttl = std::min(ttlOf(rr), least > kTtlMost ? 0 : least);
     answer.soa = true;
     return;
   }
@@ -157,6 +158,94 @@
   }
 }
 
+// Whether the message is a response to this question.
+bool isAnswerTo(const Question& question, const ldns_pkt* packet, bool refused) {
+  if (ldns_pkt_get_opcode(packet) != LDNS_PACKET_QUERY) return false;
+  const ldns_rr_list* asked = ldns_pkt_question(packet);
+  // Some servers leave the question out of a refusal; the id and the address have to do there.
+  if (refused && ldns_rr_list_rr_count(asked) == 0) return true;
+  if (ldns_rr_list_rr_count(asked) != 1) return false;
+  const ldns_rr* rr = ldns_rr_list_rr(asked, 0);
+  return ownerOf(rr) == question.name && ldns_rr_get_class(rr) == LDNS_RR_CLASS_IN &&
+         static_cast<std::uint16_t>(ldns_rr_get_type(rr)) == static_cast<std::uint16_t>(question.type);
+}
+
+// Records of the type that was asked at other names.
+int countOthers(const Said& said, const std::string& name) {
+  int count = 0;
+  for (const auto& [owner, records] : said.wanted) {
+    if (owner != name) count += static_cast<int>(records.size());
+  }
+  return count;
+}
+
+// Of a response without the records that were asked for, and without a chain.
+Verdict withoutRecords(const ldns_pkt* packet, const Answer& answer) {
+  return !answer.soa && pointsElsewhere(ldns_pkt_authority(packet)) ? Verdict::Lame : Verdict::NoData;
+}
+
+// Whether the bytes are a response with this id.
+bool isResponse(const std::string& bytes, std::uint16_t id) {
+  const auto* head = reinterpret_cast<const unsigned char*>(bytes.data());
+  return bytes.size() >= kHeader && (head[0] << 8 | head[1]) == id && (head[2] & kResponseBit) != 0;
+}
+
+// From the name that was asked along its CNAMEs; what hangs on no link of that chain was not asked for.
+// `name` becomes the end of the chain, `ttl` the least lifetime on it. False where the chain contradicts
+// itself or is longer than `most`.
+bool followAliases(const Said& said, int most, std::string& name, std::uint32_t& ttl,
+                   std::vector<std::string>& chain) {
+  std::set<std::string> seen{name};
+  for (auto alias = said.aliases.find(name); alias != said.aliases.end(); alias = said.aliases.find(name)) {
+    if (said.wanted.count(name) != 0) return false;  // RFC 1034, section 3.6.2
+    ttl = std::min(ttl, alias->second.ttl);
+    name = alias->second.value;
+    chain.push_back(name);
+    if (!seen.insert(name).second || static_cast<int>(chain.size()) > most) return false;
+  }
+  return true;
+}
+
+// What a response says; its records and lifetimes go to `answer`.
+Verdict read(const std::string& bytes, const Question& question, const Bounds& bounds, Answer& answer) {
+  const bool truncated = (bytes[2] & kTruncatedBit) != 0;
+  ldns_pkt* parsed = nullptr;
+  const ldns_status status =
+      ldns_wire2pkt(&parsed, reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+  const Packet packet(status == LDNS_STATUS_OK ? parsed : nullptr);
+  // A message cut in the middle of a record still says that there is more.
+  if (!packet) return truncated ? Verdict::Truncated : Verdict::Malformed;
+  const ldns_pkt_rcode code = ldns_pkt_get_rcode(packet.get());
+  const bool refused = code != LDNS_RCODE_NOERROR && code != LDNS_RCODE_NXDOMAIN;
+  if (!isAnswerTo(question, packet.get(), refused)) return Verdict::Stranger;
+  if (refused) return refusalOf(code);
+
+  const ldns_rr_list* section = ldns_pkt_answer(packet.get());
+  if (ldns_rr_list_rr_count(section) > bounds.records) return Verdict::TooMany;
+  Said said = gather(section, question.type, answer.unasked);
+  if (said.malformed) return Verdict::Malformed;
+  if (said.contradiction) return Verdict::Contradiction;
+
+  std::string at = question.name;
+  std::uint32_t least = kTtlMost;
+  if (!followAliases(said, bounds.chain, at, least, answer.chain)) return Verdict::Contradiction;
+  const auto found = said.wanted.find(at);
+  answer.unasked += countOthers(said, at);
+  if (found != said.wanted.end()) {
+    if (code == LDNS_RCODE_NXDOMAIN) return Verdict::Contradiction;
+    for (const Record& r : found->second) least = std::min(least, r.ttl);
+    answer.records = settled(found->second);
+    answer.ttl = least;
+    return truncated ? Verdict::Truncated : Verdict::Answer;
+  }
+  if (truncated) return Verdict::Truncated;
+  readSoa(ldns_pkt_authority(packet.get()), at, answer);
+  if (code == LDNS_RCODE_NXDOMAIN) return Verdict::NxDomain;
+  const bool chain = !answer.chain.empty() && !answer.soa;
+  if (chain) answer.ttl = least;
+  return chain ? Verdict::Chain : withoutRecords(packet.get(), answer);
+}
+
 }  // namespace
 
 const char* nameOf(Type type) {
@@ -245,75 +334,14 @@
 
 Answer decode(const std::string& bytes, const Question& question, std::uint16_t id, const Bounds& bounds) {
   Answer answer;
-  const auto is = [&](Verdict verdict) {
-    answer.verdict = verdict;
-    if (verdict != Verdict::Answer && verdict != Verdict::Truncated) answer.records.clear();
-    return answer;
-  };
-  const auto* head = reinterpret_cast<const unsigned char*>(bytes.data());
-  if (bytes.size() < kHeader || (head[0] << 8 | head[1]) != id || (head[2] & kResponseBit) == 0)
-    return is(Verdict::Stranger);
-  if (bytes.size() > bounds.bytes) return is(Verdict::Malformed);
-  const bool truncated = (head[2] & kTruncatedBit) != 0;
-  ldns_pkt* parsed = nullptr;
-  const ldns_status status = ldns_wire2pkt(&parsed, head, bytes.size());
-  const Packet packet(status == LDNS_STATUS_OK ? parsed : nullptr);
-  // A message cut in the middle of a record still says that there is more.
-  if (!packet) return is(truncated ? Verdict::Truncated : Verdict::Malformed);
-  const ldns_rr_list* asked = ldns_pkt_question(packet.get());
-  const ldns_pkt_rcode code = ldns_pkt_get_rcode(packet.get());
-  // Some servers leave the question out of a refusal; the id and the address have to do there.
-  const bool bare =
-      ldns_rr_list_rr_count(asked) == 0 && code != LDNS_RCODE_NOERROR && code != LDNS_RCODE_NXDOMAIN;
-  if (ldns_pkt_get_opcode(packet.get()) != LDNS_PACKET_QUERY) return is(Verdict::Stranger);
-  if (!bare) {
-    if (ldns_rr_list_rr_count(asked) != 1) return is(Verdict::Stranger);
-    const ldns_rr* rr = ldns_rr_list_rr(asked, 0);
-    if (ownerOf(rr) != question.name || ldns_rr_get_class(rr) != LDNS_RR_CLASS_IN ||
-        static_cast<std::uint16_t>(ldns_rr_get_type(rr)) != static_cast<std::uint16_t>(question.type))
-      return is(Verdict::Stranger);
-  }
-  if (code != LDNS_RCODE_NOERROR && code != LDNS_RCODE_NXDOMAIN) return is(refusalOf(code));
-
-  const ldns_rr_list* section = ldns_pkt_answer(packet.get());
-  if (ldns_rr_list_rr_count(section) > bounds.records) return is(Verdict::TooMany);
-  Said said = gather(section, question.type, answer.unasked);
-  if (said.malformed) return is(Verdict::Malformed);
-  if (said.contradiction) return is(Verdict::Contradiction);
-
-  // From the name that was asked along its CNAMEs; what hangs on no link of that chain was not asked for.
-  std::string at = question.name;
-  std::uint32_t least = 0x7FFFFFFF;
-  std::set<std::string> seen{at};
-  for (auto alias = said.aliases.find(at); alias != said.aliases.end(); alias = said.aliases.find(at)) {
-    if (said.wanted.count(at) != 0) return is(Verdict::Contradiction);  // RFC 1034, section 3.6.2
-    least = std::min(least, alias->second.ttl);
-    at = alias->second.value;
-    answer.chain.push_back(at);
-    if (!seen.insert(at).second || static_cast<int>(answer.chain.size()) > bounds.chain)
-      return is(Verdict::Contradiction);
-  }
-  const auto found = said.wanted.find(at);
-  for (const auto& [owner, records] : said.wanted) {
-    if (owner != at) answer.unasked += static_cast<int>(records.size());
-  }
-  if (found != said.wanted.end()) {
-    if (code == LDNS_RCODE_NXDOMAIN) return is(Verdict::Contradiction);
-    for (const Record& r : found->second) least = std::min(least, r.ttl);
-    answer.records = settled(found->second);
-    answer.ttl = least;
-    return is(truncated ? Verdict::Truncated : Verdict::Answer);
-  }
-  if (truncated) return is(Verdict::Truncated);
-  const ldns_rr_list* authority = ldns_pkt_authority(packet.get());
-  readSoa(authority, at, answer);
-  if (code == LDNS_RCODE_NXDOMAIN) return is(Verdict::NxDomain);
-  if (!answer.chain.empty() && !answer.soa) {
-    answer.ttl = least;
-    return is(Verdict::Chain);
-  }
-  if (!answer.soa && pointsElsewhere(authority)) return is(Verdict::Lame);
-  return is(Verdict::NoData);
+  if (!isResponse(bytes, id))
+    answer.verdict = Verdict::Stranger;
+  else if (bytes.size() > bounds.bytes)
+    answer.verdict = Verdict::Malformed;
+  else
+    answer.verdict = read(bytes, question, bounds, answer);
+  if (answer.verdict != Verdict::Answer && answer.verdict != Verdict::Truncated) answer.records.clear();
+  return answer;
 }
 
 }  // namespace peargrade::dns
--- a/src/files/store.cpp
+++ b/src/files/store.cpp
@@ -58,6 +58,17 @@
   return bytes;
 }
 
+// All generations that have a snapshot, the newest first.
+std::vector<std::uint64_t> Store::generationsIn(const std::vector<std::string>& names) const {
+  std::vector<std::uint64_t> generations;
+  for (const std::string& file : names) {
+    std::uint64_t generation = 0;
+    if (generationOf(file, kSnapshot, generation)) generations.push_back(generation);
+  }
+  std::sort(generations.rbegin(), generations.rend());
+  return generations;
+}
+
 Store::Contents Store::open() {
   Contents c;
   writable_ = foreign_ = false;
@@ -67,57 +78,9 @@
     c.notes.push_back(listed.why);
     return c;
   }
-  std::vector<std::uint64_t> generations;
-  for (const std::string& file : names) {
-    std::uint64_t generation = 0;
-    if (generationOf(file, kSnapshot, generation)) generations.push_back(generation);
-  }
-  std::sort(generations.rbegin(), generations.rend());
+  const std::vector<std::uint64_t> generations = generationsIn(names);
   for (const std::uint64_t generation : generations) {
-    const std::string file = fileOf(generation, kSnapshot);
-    std::string bytes;
-    if (const Outcome got = files_.read(file, bytes); !got) {
-      // A read that fails now may do better later: nothing older may take its place.
-      c.found = Found::Failed;
-      c.notes.push_back(got.why);
-      return c;
-    }
-    if (isOurs(bytes) && number(bytes, kMagicSize, 4) > version_) {
-      c.found = Found::Newer;
-      c.version = static_cast<std::uint32_t>(number(bytes, kMagicSize, 4));
-      c.notes.push_back(file + ": version " + std::to_string(c.version) + ", this program knows up to " +
-                        std::to_string(version_));
-      foreign_ = true;
-      return c;
-    }
-    const auto version = static_cast<std::uint32_t>(isOurs(bytes) ? number(bytes, kMagicSize, 4) : 0);
-    const Recovered snapshot = recover(bytes, numberOf(generation, version), kHeadSize);
-    if (!isOurs(bytes) || number(bytes, kMagicSize + 4, 8) != generation || snapshot.payloads.size() != 1 ||
-        snapshot.dropped != 0) {
-      c.notes.push_back(file + ": damaged, passed over");
-      continue;
-    }
-    std::string changes;
-    const std::string journal = fileOf(generation, kJournal);
-    if (const Outcome got = files_.read(journal, changes); !got && !got.missing) {
-      c.found = Found::Failed;
-      c.notes.push_back(got.why);
-      return c;
-    }
-    c.found = Found::Whole;
-    c.version = static_cast<std::uint32_t>(number(bytes, kMagicSize, 4));
-    c.snapshot = snapshot.payloads[0];
-    Recovered r;
-    if (isOurs(changes) && number(changes, kMagicSize + 4, 8) == generation)
-      r = recover(changes, numberOf(generation, version), kHeadSize);
-    else
-      r.dropped = changes.size();
-    c.changes = std::move(r.payloads);
-    if (r.dropped > 0)
-      c.notes.push_back(journal + ": " + std::to_string(r.dropped) +
-                        " bytes behind the last whole change dropped");
-    generation_ = generation;
-    return c;
+    if (openGeneration(generation, c)) return c;
   }
   if (!generations.empty()) {
     c.found = Found::Damaged;
@@ -126,6 +89,61 @@
   return c;
 }
 
+// False where its snapshot is damaged: an older one may do.
+bool Store::openGeneration(std::uint64_t generation, Contents& c) {
+  const std::string file = fileOf(generation, kSnapshot);
+  std::string bytes;
+  if (const Outcome got = files_.read(file, bytes); !got) {
+    // A read that fails now may do better later: nothing older may take its place.
+    c.found = Found::Failed;
+    c.notes.push_back(got.why);
+    return true;
+  }
+  const auto version = static_cast<std::uint32_t>(isOurs(bytes) ? number(bytes, kMagicSize, 4) : 0);
+  if (version > version_) {
+    c.found = Found::Newer;
+    c.version = version;
+    c.notes.push_back(file + ": version " + std::to_string(c.version) + ", this program knows up to " +
+                      std::to_string(version_));
+    foreign_ = true;
+    return true;
+  }
+  const Recovered snapshot = recover(bytes, numberOf(generation, version), kHeadSize);
+  if (!isOurs(bytes) || number(bytes, kMagicSize + 4, 8) != generation || snapshot.payloads.size() != 1 ||
+      snapshot.dropped != 0) {
+    c.notes.push_back(file + ": damaged, passed over");
+    return false;
+  }
+  c.version = version;
+  c.snapshot = snapshot.payloads[0];
+  readJournal(generation, version, c);
+  return true;
+}
+
+// What stands behind the snapshot, up to the last whole change.
+void Store::readJournal(std::uint64_t generation, std::uint32_t version, Contents& c) {
+  std::string changes;
+  const std::string journal = fileOf(generation, kJournal);
+  if (const Outcome got = files_.read(journal, changes); !got && !got.missing) {
+    c.found = Found::Failed;
+    c.notes.push_back(got.why);
+    c.version = 0;
+    c.snapshot.clear();
+    return;
+  }
+  c.found = Found::Whole;
+  Recovered r;
+  if (isOurs(changes) && number(changes, kMagicSize + 4, 8) == generation)
+    r = recover(changes, numberOf(generation, version), kHeadSize);
+  else
+    r.dropped = changes.size();
+  c.changes = std::move(r.payloads);
+  if (r.dropped > 0)
+    c.notes.push_back(journal + ": " + std::to_string(r.dropped) +
+                      " bytes behind the last whole change dropped");
+  generation_ = generation;
+}
+
 // Written beside, synced, renamed: at every moment one generation is whole. The older one goes last.
 Outcome Store::compact(const std::string& snapshot) {
   if (foreign_)
--- a/src/files/store.h
+++ b/src/files/store.h
@@ -50,6 +50,9 @@
  private:
   std::string fileOf(std::uint64_t generation, const char* kind) const;
   bool generationOf(const std::string& file, const char* kind, std::uint64_t& generation) const;
+  std::vector<std::uint64_t> generationsIn(const std::vector<std::string>& names) const;
+  bool openGeneration(std::uint64_t generation, Contents& contents);
+  void readJournal(std::uint64_t generation, std::uint32_t version, Contents& contents);
   std::string head(std::uint64_t generation) const;
 
   Files& files_;
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -28,7 +28,7 @@
 Operator parse(const std::string& text, const std::string& file, const discovery::Names* names) {
   std::vector<Complaint> complaints;
   const Section top = check(schema(), kdl::parse(text), complaints);
-  const Operator o = SourcesReader(names, complaints).read(top.block("sources"));
+  Operator o = SourcesReader(names, complaints).read(top.block("sources"));
   if (!complaints.empty()) throw Wrong(linesOf(std::move(complaints), file));
   return o;
 }
--- a/src/sources/commands.cpp
+++ b/src/sources/commands.cpp
@@ -3,6 +3,7 @@
 #include <rapidjson/ostreamwrapper.h>
 #include <rapidjson/prettywriter.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <random>
@@ -120,6 +121,56 @@
   return holds();
 }
 
+using Rows = std::vector<membership::Membership::Explained>;
+
+void rowsAsJson(const Rows& rows, const op::Operator& op, Micros now) {
+  rapidjson::OStreamWrapper stream(std::cout);
+  Writer out(stream);
+  out.StartArray();
+  for (const auto& e : rows) {
+    out.StartObject();
+    text(out, "server", e.server);
+    text(out, "endpoint", e.endpoint);
+    out.Key("listed");
+    out.Bool(e.listed);
+    text(out, "state",
+         !e.listed                          ? "none"
+         : e.state == ServerState::Ready    ? "ready"
+         : e.state == ServerState::Draining ? "draining"
+                                            : "gone");
+    text(out, "rule", membership::codeOf(e.rule));
+    whole(out, "until_ms", e.until > now ? (e.until - now) / 1000 : 0);
+    text(out, "roster", e.roster);
+    out.Key("records");
+    out.StartObject();
+    for (std::size_t k = 0; k < e.records.size(); ++k) text(out, labelOf(op, k).c_str(), e.records[k]);
+    out.EndObject();
+    out.EndObject();
+  }
+  out.EndArray();
+  std::cout << '\n';
+}
+
+void rowsAsText(const Rows& rows, const op::Operator& op, Micros now) {
+  for (const auto& e : rows) {
+    std::cout << e.server
+              << (e.listed ? e.state == ServerState::Ready ? " ready" : " draining" : " not listed")
+              << ", rule " << membership::codeOf(e.rule);
+    if (e.until > now) std::cout << " for " << (e.until - now) / 1000 << " ms";
+    std::cout << "\n  roster: " << (e.roster.empty() ? "nothing" : e.roster) << '\n';
+    for (std::size_t k = 0; k < e.records.size(); ++k)
+      std::cout << "  " << labelOf(op, k) << ": " << e.records[k] << '\n';
+  }
+}
+
+// Whether discovery said that it has no list.
+bool listFailed(const std::vector<Event>& events) {
+  return std::any_of(events.begin(), events.end(), [](const Event& e) {
+    const auto* news = std::get_if<ListNews>(&e);
+    return news != nullptr && news->mode == ListMode::Failed;
+  });
+}
+
 }  // namespace
 
 int lookup(const LookupAsked& asked, log::Log& log) {
@@ -181,51 +232,11 @@
     exchange.carry({FetchList{}});
   }
   const bool all = until(base.get(), asked.within, [&] {
-    for (const Event& e : exchange.take()) {
-      const auto* news = std::get_if<ListNews>(&e);
-      if (news != nullptr && news->mode == ListMode::Failed) rosterDone = true;
-    }
+    if (listFailed(exchange.take())) rosterDone = true;
     return rosterDone && sources.askedAll();
   });
   const Micros now = unixNow();
-  const auto rows = sources.membership().explain(now);
-  if (asked.json) {
-    rapidjson::OStreamWrapper stream(std::cout);
-    Writer out(stream);
-    out.StartArray();
-    for (const auto& e : rows) {
-      out.StartObject();
-      text(out, "server", e.server);
-      text(out, "endpoint", e.endpoint);
-      out.Key("listed");
-      out.Bool(e.listed);
-      text(out, "state",
-           !e.listed                          ? "none"
-           : e.state == ServerState::Ready    ? "ready"
-           : e.state == ServerState::Draining ? "draining"
-                                              : "gone");
-      text(out, "rule", membership::codeOf(e.rule));
-      whole(out, "until_ms", e.until > now ? (e.until - now) / 1000 : 0);
-      text(out, "roster", e.roster);
-      out.Key("records");
-      out.StartObject();
-      for (std::size_t k = 0; k < e.records.size(); ++k) text(out, labelOf(op, k).c_str(), e.records[k]);
-      out.EndObject();
-      out.EndObject();
-    }
-    out.EndArray();
-    std::cout << '\n';
-  } else {
-    for (const auto& e : rows) {
-      std::cout << e.server
-                << (e.listed ? e.state == ServerState::Ready ? " ready" : " draining" : " not listed")
-                << ", rule " << membership::codeOf(e.rule);
-      if (e.until > now) std::cout << " for " << (e.until - now) / 1000 << " ms";
-      std::cout << "\n  roster: " << (e.roster.empty() ? "nothing" : e.roster) << '\n';
-      for (std::size_t k = 0; k < e.records.size(); ++k)
-        std::cout << "  " << labelOf(op, k) << ": " << e.records[k] << '\n';
-    }
-  }
+  (asked.json ? rowsAsJson : rowsAsText)(sources.membership().explain(now), op, now);
   if (!all) std::cerr << "peargrade: not every source answered in time\n";
   return all ? 0 : 3;
 }
--- a/src/zone/acceptor.cpp
+++ b/src/zone/acceptor.cpp
@@ -5,6 +5,7 @@
 namespace peargrade::zone {
 namespace {
 
+constexpr std::size_t kHeaderSize = 12;  // of a message (RFC 1035, section 4.1.1)
 constexpr std::size_t kTicketsMost = 8;  // of one request while it is on its way to the disk
 
 std::string replyTo(const Message& request, Rcode rcode) {
@@ -26,6 +27,17 @@
   return reply;
 }
 
+// The answer to bytes that are no message: a header at least, and no answer, as answering answers would go
+// round for ever. "" where nothing is sent.
+std::string replyToMalformed(const std::string& bytes) {
+  if (bytes.size() < kHeaderSize || (bytes[2] & 0x80) != 0) return "";
+  Message bare;
+  bare.id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
+                                       static_cast<unsigned char>(bytes[1]));
+  bare.opcode = Opcode::Update;
+  return replyTo(bare, Rcode::FormErr);
+}
+
 const char* codeOf(TsigError error) {
   switch (error) {
     case TsigError::BadSig:
@@ -84,14 +96,7 @@
   if (!decoded) {
     taken.code = "bad-form";
     taken.rcode = Rcode::FormErr;
-    // A header at least, and no answer: answering answers would go round for ever.
-    if (bytes.size() >= 12 && (bytes[2] & 0x80) == 0) {
-      Message bare;
-      bare.id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
-                                           static_cast<unsigned char>(bytes[1]));
-      bare.opcode = Opcode::Update;
-      taken.answer = replyTo(bare, Rcode::FormErr);
-    }
+    taken.answer = replyToMalformed(bytes);
     return taken;
   }
   const Message& m = *decoded;
@@ -115,23 +120,27 @@
     taken.answer = signRefusal(taken.answer, checked, keys, now);
     return taken;
   }
-  const Key& key = *keys.find(checked.key);
-  const auto signedNow = [&](Rcode rcode) {
-    std::string mac;
-    return sign(replyTo(m, rcode), key, now, mac, checked.mac);
-  };
-  const auto refuseSigned = [&](Rcode rcode, const std::string& code, const std::string& why) {
-    refuse(rcode, code, why);
-    taken.answer = signedNow(rcode);
-    return taken;
-  };
-  // The same request again: on its way, or answered.
   forget(now);
+  if (const auto again = repeated(m, checked, keys, now)) return *again;
+  return carryOut(m, checked, keys, now);
+}
+
+std::string Acceptor::signedNow(const Message& request, const Checked& checked, Rcode rcode, const Keys& keys,
+                                std::int64_t now) {
+  std::string mac;
+  return sign(replyTo(request, rcode), *keys.find(checked.key), now, mac, checked.mac);
+}
+
+// The same request again: on its way to the disk, or answered before.
+std::optional<Acceptor::Taken> Acceptor::repeated(const Message& m, const Checked& checked, const Keys& keys,
+                                                  std::int64_t now) {
+  Taken taken;
+  taken.answered = true;
+  taken.code = "repeated";
   const Request request{checked.key, m.id, checked.mac};
   for (auto* queue : {&batch_, &open_}) {
     for (Pending& p : *queue) {
       if (Request{p.step.request.key, p.step.request.id, p.step.request.mac} != request) continue;
-      taken.code = "repeated";
       // Who sends it again and again while it is on its way gets so many answers; the first is on its way
       // too.
       if (p.tickets.size() >= kTicketsMost) return taken;
@@ -142,21 +151,32 @@
     }
   }
   const auto known = remembered_.find(request);
-  if (known != remembered_.end()) {
-    taken.code = "repeated";
-    taken.rcode = known->second.rcode;
-    taken.answer = signedNow(taken.rcode);
+  if (known == remembered_.end()) return std::nullopt;
+  taken.rcode = known->second.rcode;
+  taken.answer = signedNow(m, checked, taken.rcode, keys, now);
+  return taken;
+}
+
+// A signed request that was not met before.
+Acceptor::Taken Acceptor::carryOut(const Message& m, const Checked& checked, const Keys& keys,
+                                   std::int64_t now) {
+  Taken taken;
+  taken.answered = true;
+  const auto refuse = [&](Rcode rcode, const char* code, const std::string& why) {
+    taken.rcode = rcode;
+    taken.code = code;
+    taken.why = why;
+    taken.answer = signedNow(m, checked, rcode, keys, now);
     return taken;
-  }
+  };
   for (const RawRecord& change : m.authority) {
     if (within(change.name, zone_.origin()) && !granted(checked.key, change))
-      return refuseSigned(Rcode::Refused, "not-granted",
-                          "key " + checked.key + " may not change " + change.name);
+      return refuse(Rcode::Refused, "not-granted", "key " + checked.key + " may not change " + change.name);
   }
   // Who is not remembered could be carried out twice: no room, no update.
   if (remembered_.size() + open_.size() + batch_.size() >= settings_.remembered ||
       open_.size() >= settings_.pending)
-    return refuseSigned(Rcode::ServFail, "crowded", "more updates than may wait or be remembered");
+    return refuse(Rcode::ServFail, "crowded", "more updates than may wait or be remembered");
   const Applied applied = apply(zone_, m);
   taken.rcode = applied.rcode;
   taken.code = applied.rcode == Rcode::NoError ? "accepted" : "refused";
@@ -164,7 +184,7 @@
   const bool changes = !applied.change.empty();
   // What rests on changes that are not on disk yet is answered with them.
   if (!changes && open_.empty() && batch_.empty()) {
-    taken.answer = signedNow(applied.rcode);
+    taken.answer = signedNow(m, checked, applied.rcode, keys, now);
     return taken;
   }
   Pending p;
--- a/src/zone/acceptor.h
+++ b/src/zone/acceptor.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,6 +75,10 @@
     bool changes = false;
   };
 
+  std::optional<Taken> repeated(const Message& m, const Checked& checked, const Keys& keys, std::int64_t now);
+  Taken carryOut(const Message& m, const Checked& checked, const Keys& keys, std::int64_t now);
+  static std::string signedNow(const Message& request, const Checked& checked, Rcode rcode, const Keys& keys,
+                               std::int64_t now);
   bool granted(const std::string& key, const RawRecord& change) const;
   void forget(std::int64_t now);
   std::string signedReply(const Pending& p, Rcode rcode, const Keys& keys, std::int64_t now) const;
--- a/src/zone/transfer.h
+++ b/src/zone/transfer.h
@@ -32,7 +32,14 @@
 
  private:
   enum class Phase { Begin, Second, Whole, Removing, Adding, Over };
+  State refusal(const Message& message);
+  State raw(const RawRecord& raw);
   State record(const Record& r);
+  // A record of each phase.
+  State second(const Record& r);
+  State ofWhole(const Record& r);
+  State removed(const Record& r);
+  State added(const Record& r);
   State end(State state, const std::string& why);
   bool lastSoa(const Record& r) const { return r.type == Type::SOA && r.data == final_.data; }
 
--- a/src/zone/update.cpp
+++ b/src/zone/update.cpp
@@ -18,48 +18,60 @@
 // Types that are no data: queries, signatures, transfers (RFC 2136, section 3.4.1.2).
 bool isMeta(std::uint16_t type) { return (type >= 128 && type <= 255) || type == 41; }
 
+using ExactSets = std::map<std::pair<std::string, std::uint16_t>, std::set<std::string>>;
+
+// Class ANY: the name or the set has to be in use (RFC 2136, sections 3.2.1 and 3.2.2).
+void needInUse(const Zone& zone, const RawRecord& r, bool set) {
+  if (!r.data.empty()) throw Wrong{Rcode::FormErr, "data in a prerequisite of class ANY"};
+  if (r.type == kTypeAny && !zone.hasName(r.name)) throw Wrong{Rcode::NxDomain, r.name + " is not in use"};
+  if (r.type != kTypeAny && !set) throw Wrong{Rcode::NxRrset, shown(r) + " is not there"};
+}
+
+// Class NONE: the name or the set must not be in use.
+void needNotInUse(const Zone& zone, const RawRecord& r, bool set) {
+  if (!r.data.empty()) throw Wrong{Rcode::FormErr, "data in a prerequisite of class NONE"};
+  if (r.type == kTypeAny && zone.hasName(r.name)) throw Wrong{Rcode::YxDomain, r.name + " is in use"};
+  if (r.type != kTypeAny && set) throw Wrong{Rcode::YxRrset, shown(r) + " is there"};
+}
+
+// Section 3.2. `exact` gets what has to be just so: that is known once all are read.
+void checkPrerequisite(const Zone& zone, const RawRecord& r, std::uint16_t zoneClass, ExactSets& exact) {
+  if (r.ttl != 0) throw Wrong{Rcode::FormErr, "a prerequisite with a lifetime: " + shown(r)};
+  if (!within(r.name, zone.origin()))
+    throw Wrong{Rcode::NotZone, "a prerequisite out of the zone: " + r.name};
+  const auto type = typeOf(r.type);
+  const bool set = type && zone.find(r.name, *type) != nullptr;
+  if (r.cls == kClassAny) return needInUse(zone, r, set);
+  if (r.cls == kClassNone) return needNotInUse(zone, r, set);
+  if (r.cls != zoneClass) throw Wrong{Rcode::FormErr, "a prerequisite of class " + std::to_string(r.cls)};
+  const auto data = type ? canonicalData(*type, r.data) : std::nullopt;
+  if (!data) throw Wrong{Rcode::FormErr, "data that does not fit: " + shown(r)};
+  exact[{r.name, r.type}].insert(*data);
+}
+
 void checkPrerequisites(const Zone& zone, const Message& update) {
-  // Sets that have to be just so; lifetimes do not count (section 3.2.3).
-  std::map<std::pair<std::string, std::uint16_t>, std::set<std::string>> exact;
-  for (const RawRecord& r : update.answer) {
-    if (r.ttl != 0) throw Wrong{Rcode::FormErr, "a prerequisite with a lifetime: " + shown(r)};
-    if (!within(r.name, zone.origin()))
-      throw Wrong{Rcode::NotZone, "a prerequisite out of the zone: " + r.name};
-    const auto type = typeOf(r.type);
-    const bool set = type && zone.find(r.name, *type) != nullptr;
-    if (r.cls == kClassAny) {
-      if (!r.data.empty()) throw Wrong{Rcode::FormErr, "data in a prerequisite of class ANY"};
-      if (r.type == kTypeAny && !zone.hasName(r.name))
-        throw Wrong{Rcode::NxDomain, r.name + " is not in use"};
-      if (r.type != kTypeAny && !set) throw Wrong{Rcode::NxRrset, shown(r) + " is not there"};
-    } else if (r.cls == kClassNone) {
-      if (!r.data.empty()) throw Wrong{Rcode::FormErr, "data in a prerequisite of class NONE"};
-      if (r.type == kTypeAny && zone.hasName(r.name)) throw Wrong{Rcode::YxDomain, r.name + " is in use"};
-      if (r.type != kTypeAny && set) throw Wrong{Rcode::YxRrset, shown(r) + " is there"};
-    } else if (r.cls == update.cls) {
-      const auto data = type ? canonicalData(*type, r.data) : std::nullopt;
-      if (!data) throw Wrong{Rcode::FormErr, "data that does not fit: " + shown(r)};
-      exact[{r.name, r.type}].insert(*data);
-    } else {
-      throw Wrong{Rcode::FormErr, "a prerequisite of class " + std::to_string(r.cls)};
-    }
-  }
+  ExactSets exact;  // lifetimes do not count (section 3.2.3)
+  for (const RawRecord& r : update.answer) checkPrerequisite(zone, r, update.cls, exact);
   for (const auto& [key, data] : exact) {
     const Zone::Set* set = zone.find(key.first, *typeOf(key.second));
     if (set == nullptr || set->data != data) throw Wrong{Rcode::NxRrset, key.first + " is not just so"};
   }
 }
 
+void checkAddition(const RawRecord& r) {
+  if (isMeta(r.type)) throw Wrong{Rcode::FormErr, "a change of a type that is no data"};
+  const auto type = typeOf(r.type);
+  if (!type) throw Wrong{Rcode::Refused, "type " + std::to_string(r.type) + " is not kept here"};
+  if (!canonicalData(*type, r.data)) throw Wrong{Rcode::FormErr, "data that does not fit: " + shown(r)};
+  if (r.ttl > 0x7FFFFFFF) throw Wrong{Rcode::FormErr, "a lifetime over 2^31: " + shown(r)};
+}
+
 // Section 3.4.1: all of it is looked at before any of it is done.
 void checkChanges(const Zone& zone, const Message& update) {
   for (const RawRecord& r : update.authority) {
     if (!within(r.name, zone.origin())) throw Wrong{Rcode::NotZone, "a change out of the zone: " + r.name};
     if (r.cls == update.cls) {
-      if (isMeta(r.type)) throw Wrong{Rcode::FormErr, "a change of a type that is no data"};
-      const auto type = typeOf(r.type);
-      if (!type) throw Wrong{Rcode::Refused, "type " + std::to_string(r.type) + " is not kept here"};
-      if (!canonicalData(*type, r.data)) throw Wrong{Rcode::FormErr, "data that does not fit: " + shown(r)};
-      if (r.ttl > 0x7FFFFFFF) throw Wrong{Rcode::FormErr, "a lifetime over 2^31: " + shown(r)};
+      checkAddition(r);
     } else if (r.cls == kClassAny) {
       if (r.ttl != 0 || !r.data.empty() || (isMeta(r.type) && r.type != kTypeAny))
         throw Wrong{Rcode::FormErr, "a deletion with a lifetime or data: " + shown(r)};
--- a/src/zones/commands.cpp
+++ b/src/zones/commands.cpp
@@ -28,7 +28,8 @@
 using Writer = rapidjson::PrettyWriter<rapidjson::OStreamWrapper>;
 
 constexpr Micros kFirstWait = 400000;
-constexpr std::size_t kUdpMost = 1232;
+constexpr std::size_t kUdpMost = 1232;       // bytes of a message; a larger one goes over TCP
+constexpr std::size_t kMessageMost = 65535;  // over TCP (RFC 1035, section 4.2.2)
 
 void text(Writer& out, const char* key, const std::string& value) {
   out.Key(key);
@@ -206,37 +207,65 @@
   net::Timer again_;
 };
 
-int update(const ZoneAsked& asked) {
-  const auto server = net::Address::parse(asked.server);
-  if (!server) {
-    std::cerr << "peargrade: '" << asked.server << "' is no address of the form 127.0.0.1:5300\n";
-    return 2;
-  }
+std::string readInput(const std::string& file, std::vector<std::string>& problems) {
+  if (file == "-") return {std::istreambuf_iterator<char>(std::cin), {}};
+  std::ifstream in(file, std::ios::binary);
+  if (!in) problems.push_back(file + ": cannot be read");
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// A signed update on its way, and what its answer has to fit.
+struct SignedUpdate {
+  std::uint16_t id = 0;
+  std::string bytes, mac;
+  zone::Keys keys;
+};
+
+// From the files that the command line names; nothing, with a line on standard error for each problem.
+std::optional<SignedUpdate> signedUpdate(const ZoneAsked& asked) {
   std::vector<std::string> problems;
-  const zone::Keys keys = readKeys(asked.key, problems);
-  std::string script;
-  if (asked.files[0] == "-") {
-    script.assign(std::istreambuf_iterator<char>(std::cin), {});
-  } else {
-    std::ifstream in(asked.files[0], std::ios::binary);
-    if (!in) problems.push_back(asked.files[0] + ": cannot be read");
-    script.assign(std::istreambuf_iterator<char>(in), {});
-  }
+  SignedUpdate update;
+  update.keys = readKeys(asked.key, problems);
+  const std::string script = readInput(asked.files[0], problems);
   zone::Message m = readScript(script, asked.files[0], asked.origin, problems);
-  const zone::Key* key = asked.label.empty() ? keys.only() : keys.find(asked.label);
+  const zone::Key* key = asked.label.empty() ? update.keys.only() : update.keys.find(asked.label);
   if (problems.empty() && key == nullptr) problems.push_back("--name has to say which key of " + asked.key);
   for (const std::string& p : problems) std::cerr << "peargrade: " << p << '\n';
-  if (!problems.empty()) return 2;
+  if (!problems.empty()) return std::nullopt;
   std::random_device device;
-  m.id = static_cast<std::uint16_t>(device());
-  std::string mac;
-  const std::string message = zone::sign(zone::encodeMessage(m), *key, std::time(nullptr), mac);
-  if (message.size() > 65535) {
-    std::cerr << "peargrade: more than one message holds\n";
+  m.id = update.id = static_cast<std::uint16_t>(device());
+  update.bytes = zone::sign(zone::encodeMessage(m), *key, std::time(nullptr), update.mac);
+  if (update.bytes.size() <= kMessageMost) return update;
+  std::cerr << "peargrade: more than one message holds\n";
+  return std::nullopt;
+}
+
+// The answer that these bytes are; nothing where they are none, or lack the signature that they need: a
+// refusal may come unsigned, that it was accepted has to be signed. `doubt` says what was left out.
+std::optional<zone::Message> answerFrom(const std::string& bytes, const SignedUpdate& update,
+                                        std::string& doubt) {
+  auto decoded = zone::decodeMessage(bytes);
+  if (!decoded || !decoded->response || decoded->id != update.id) return std::nullopt;
+  const bool isSigned = decoded->tsigAt.has_value();
+  const auto checked =
+      isSigned ? zone::check(bytes, *decoded, update.keys, std::time(nullptr), update.mac) : zone::Checked{};
+  if (decoded->rcode == zone::Rcode::NoError && (!isSigned || checked.rcode != zone::Rcode::NoError)) {
+    doubt = "an answer without a good signature was left out";
+    return std::nullopt;
+  }
+  return decoded;
+}
+
+int update(const ZoneAsked& asked) {
+  const auto server = net::Address::parse(asked.server);
+  if (!server) {
+    std::cerr << "peargrade: '" << asked.server << "' is no address of the form 127.0.0.1:5300\n";
     return 2;
   }
+  const auto update = signedUpdate(asked);
+  if (!update) return 2;
   const net::EventBase base = net::makeBase();
-  Asking asking(base.get(), *server, message, asked.tcp);
+  Asking asking(base.get(), *server, update->bytes, asked.tcp);
   bool over = false;
   net::Timer limit(base.get(), [&over] { over = true; });
   limit.in(asked.within);
@@ -244,20 +273,9 @@
   std::string doubt;
   while (!over && !answer) {
     event_base_loop(base.get(), EVLOOP_ONCE);
-    if (asking.answer.empty()) continue;
-    const std::string bytes = std::exchange(asking.answer, "");
-    const auto decoded = zone::decodeMessage(bytes);
-    if (!decoded || !decoded->response || decoded->id != m.id) continue;
-    answer = decoded;
-    // A refusal may come unsigned; that it was accepted has to be signed.
-    const bool isSigned = decoded->tsigAt.has_value();
-    const auto checked =
-        isSigned ? zone::check(bytes, *decoded, keys, std::time(nullptr), mac) : zone::Checked{};
-    if (decoded->rcode == zone::Rcode::NoError && (!isSigned || checked.rcode != zone::Rcode::NoError)) {
-      answer.reset();
-      doubt = "an answer without a good signature was left out";
-    }
+    if (!asking.answer.empty()) answer = answerFrom(std::exchange(asking.answer, ""), *update, doubt);
   }
+  const bool accepted = answer && answer->rcode == zone::Rcode::NoError;
   const std::string word = answer ? zone::nameOf(answer->rcode) : "no answer";
   if (asked.json) {
     rapidjson::OStreamWrapper stream(std::cout);
@@ -265,14 +283,15 @@
     out.StartObject();
     text(out, "answer", word);
     out.Key("accepted");
-    out.Bool(answer && answer->rcode == zone::Rcode::NoError);
+    out.Bool(accepted);
     out.EndObject();
     std::cout << '\n';
   } else {
     std::cout << asked.origin << ": " << word << '\n';
   }
   if (!doubt.empty()) std::cerr << "peargrade: " << doubt << '\n';
-  return !answer ? 3 : answer->rcode == zone::Rcode::NoError ? 0 : 1;
+  if (!answer) return 3;
+  return accepted ? 0 : 1;
 }
 
 // Left in the folder of the state, where the supervisor finds it when it looks at the zone file next.
--- a/src/zones/keyfile.cpp
+++ b/src/zones/keyfile.cpp
@@ -41,6 +41,72 @@
   return true;
 }
 
+std::string lineOf(const std::string& file, kdl::Place at, const std::string& what) {
+  return file + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " + what;
+}
+
+// Reads one `key` node into the keys, if all of it is good.
+class KeyNode {
+ public:
+  KeyNode(const std::string& file, zone::Keys& keys, std::vector<std::string>& problems)
+      : file_(file), keys_(keys), problems_(problems) {}
+
+  void read(kdl::Node& node) {
+    readName(node);
+    for (kdl::Property& p : node.properties) readProperty(p);
+    if (good_ && !hasSecret_) bad(node.place, "expected secret=\"BASE64\"");
+    if (good_ && keys_.find(key_.name) != nullptr) bad(node.place, "expected a name of its own for each key");
+    if (!good_) return;
+    key_.secret = std::make_shared<zone::Secret>(secret_.text);
+    keys_.put(std::move(key_));
+  }
+
+ private:
+  void bad(kdl::Place at, const std::string& what) {
+    problems_.push_back(lineOf(file_, at, what));
+    good_ = false;
+  }
+
+  void readName(const kdl::Node& node) {
+    if (node.name != "key" || node.arguments.size() != 1 ||
+        node.arguments[0].kind != kdl::Value::Kind::Text || !node.children.empty())
+      bad(node.place, "expected key \"NAME\" algorithm=... secret=...");
+    else
+      key_.name = node.arguments[0].text;
+    for (char& c : key_.name) c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    if (!key_.name.empty() && key_.name.back() == '.') key_.name.pop_back();
+    if (good_ && (key_.name.empty() || !zone::encodeField(zone::Type::NS, 0, key_.name)))
+      bad(node.place, "expected a domain name as the name of the key");
+  }
+
+  void readProperty(kdl::Property& p) {
+    const std::string& value = p.value.text;
+    if (p.name == "algorithm") {
+      if (value == "hmac-sha512")
+        key_.algorithm = zone::Algorithm::HmacSha512;
+      else if (value != "hmac-sha256")
+        bad(p.value.place, "expected \"hmac-sha256\" or \"hmac-sha512\"");
+    } else if (p.name == "secret") {
+      hasSecret_ = true;
+      if (!decodeBase64(value, secret_.text) || secret_.text.size() < kSecretLeast)
+        bad(p.value.place, "expected a secret of at least 16 bytes in base64");
+      if (!p.value.text.empty()) OPENSSL_cleanse(p.value.text.data(), p.value.text.size());
+    } else if (p.name == "from" || p.name == "until") {
+      if (!readTime(value, p.name == "from" ? key_.from : key_.until))
+        bad(p.value.place, "expected a time such as \"2026-12-01\" or \"2026-12-01T12:00:00Z\"");
+    } else {
+      bad(p.place, "expected one of: algorithm, secret, from, until");
+    }
+  }
+
+  const std::string& file_;
+  zone::Keys& keys_;
+  std::vector<std::string>& problems_;
+  zone::Key key_;
+  Wiped secret_;
+  bool hasSecret_ = false, good_ = true;
+};
+
 }  // namespace
 
 bool readTime(const std::string& text, std::int64_t& seconds) {
@@ -63,54 +129,11 @@
 
 zone::Keys parseKeys(const std::string& text, const std::string& file, std::vector<std::string>& problems) {
   zone::Keys keys;
-  const auto wrong = [&](kdl::Place at, const std::string& what) {
-    problems.push_back(file + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " + what);
-  };
   kdl::Document document = kdl::parse(text);
   // What was found may be a part of a secret: the place has to do.
-  for (const kdl::Problem& p : document.problems) wrong(p.place, "expected " + p.expected);
-  for (kdl::Node& node : document.nodes) {
-    zone::Key key;
-    Wiped secret;
-    bool hasSecret = false, good = true;
-    const auto bad = [&](kdl::Place at, const std::string& what) {
-      wrong(at, what);
-      good = false;
-    };
-    if (node.name != "key" || node.arguments.size() != 1 ||
-        node.arguments[0].kind != kdl::Value::Kind::Text || !node.children.empty())
-      bad(node.place, "expected key \"NAME\" algorithm=... secret=...");
-    else
-      key.name = node.arguments[0].text;
-    for (char& c : key.name) c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    if (!key.name.empty() && key.name.back() == '.') key.name.pop_back();
-    if (good && (key.name.empty() || !zone::encodeField(zone::Type::NS, 0, key.name)))
-      bad(node.place, "expected a domain name as the name of the key");
-    for (kdl::Property& p : node.properties) {
-      const std::string& value = p.value.text;
-      if (p.name == "algorithm") {
-        if (value == "hmac-sha512")
-          key.algorithm = zone::Algorithm::HmacSha512;
-        else if (value != "hmac-sha256")
-          bad(p.value.place, "expected \"hmac-sha256\" or \"hmac-sha512\"");
-      } else if (p.name == "secret") {
-        hasSecret = true;
-        if (!decodeBase64(value, secret.text) || secret.text.size() < kSecretLeast)
-          bad(p.value.place, "expected a secret of at least 16 bytes in base64");
-        if (!p.value.text.empty()) OPENSSL_cleanse(p.value.text.data(), p.value.text.size());
-      } else if (p.name == "from" || p.name == "until") {
-        if (!readTime(value, p.name == "from" ? key.from : key.until))
-          bad(p.value.place, "expected a time such as \"2026-12-01\" or \"2026-12-01T12:00:00Z\"");
-      } else {
-        bad(p.place, "expected one of: algorithm, secret, from, until");
-      }
-    }
-    if (good && !hasSecret) bad(node.place, "expected secret=\"BASE64\"");
-    if (good && keys.find(key.name) != nullptr) bad(node.place, "expected a name of its own for each key");
-    if (!good) continue;
-    key.secret = std::make_shared<zone::Secret>(secret.text);
-    keys.put(std::move(key));
-  }
+  for (const kdl::Problem& p : document.problems)
+    problems.push_back(lineOf(file, p.place, "expected " + p.expected));
+  for (kdl::Node& node : document.nodes) KeyNode(file, keys, problems).read(node);
   if (problems.empty() && keys.size() == 0) problems.push_back(file + ":1:1: expected a key at least");
   return problems.empty() ? keys : zone::Keys{};
 }
--- a/src/zones/offer.cpp
+++ b/src/zones/offer.cpp
@@ -41,6 +41,11 @@
   return false;
 }
 
+std::string unknownAttribute(const std::string& host, const std::string& text) {
+  std::string note = host;
+  return note.append(": TXT \"").append(text).append("\" is no attribute that is known here");
+}
+
 Attributes attributesOf(const zone::Zone& zone, const std::string& host, const discovery::Names& names,
                         std::vector<std::string>& notes) {
   Attributes a;
@@ -49,8 +54,7 @@
   bool draining = false;
   for (const std::string& data : set->data) {
     for (const std::string& text : zone::textsOf(data)) {
-      if (!read(text, names, a))
-        notes.push_back(host + ": TXT \"" + text + "\" is no attribute that is known here");
+      if (!read(text, names, a)) notes.push_back(unknownAttribute(host, text));
       // Of two words on its state the careful one holds.
       draining = draining || a.state == ServerState::Draining;
     }
@@ -70,6 +74,55 @@
   return "";
 }
 
+// Collects the servers of a zone, target by target.
+struct Offering {
+  const zone::Zone& zone;
+  const places::Places& places;
+  const discovery::Names& names;
+  const Micros until;
+  const std::set<std::string>& drained;
+  Offer& offer;
+
+  void target(const zone::Srv& srv) {
+    const std::string host = resolved(zone, srv.target);
+    Attributes attributes = attributesOf(zone, host, names, offer.notes);
+    if (drained.count(host) != 0) attributes.state = ServerState::Draining;
+    bool any = false;
+    for (const zone::Type type : {zone::Type::A, zone::Type::AAAA}) {
+      const zone::Zone::Set* addresses = zone.find(host, type);
+      if (addresses == nullptr) continue;
+      for (const std::string& bytes : addresses->data) {
+        any = true;
+        server(srv, attributes, zone::addressOf(type, bytes));
+      }
+    }
+    if (any) return;
+    // A target whose address is kept elsewhere: what it was is not known to have gone.
+    offer.observation.unsure.insert(srv.target);
+    offer.notes.push_back(srv.target + ": a target without an address in the zone");
+  }
+
+  void server(const zone::Srv& srv, const Attributes& attributes, const std::string& address) {
+    membership::Sighting s;
+    s.endpoint = address + ":" + std::to_string(srv.port);
+    s.name = srv.target;
+    s.tier = srv.priority;
+    s.weight = srv.weight;
+    s.until = until;
+    s.state = attributes.state;
+    s.startedAt = attributes.startedAt;
+    if (!places.place(address, s) && attributes.zone < 0) {
+      offer.notes.push_back(s.endpoint + ": no place holds it, and no TXT names its zone");
+      return;
+    }
+    if (attributes.zone >= 0) s.zone = attributes.zone;
+    if (attributes.kind >= 0) s.kind = attributes.kind;
+    if (attributes.cell >= 0) s.cell = attributes.cell;
+    offer.endpoints.insert(s.endpoint);
+    offer.observation.seen.push_back(std::move(s));
+  }
+};
+
 }  // namespace
 
 void addTargets(const zone::Difference& change, Micros at, std::map<std::string, Micros>& targets) {
@@ -93,51 +146,16 @@
               const discovery::Names& names, std::size_t source, Micros asOf, Micros until,
               const std::set<std::string>& drained) {
   Offer offer;
-  membership::Observation& o = offer.observation;
-  o.kind = membership::Observation::Kind::Complete;
-  o.source = source;
-  o.asOf = asOf;
+  offer.observation.kind = membership::Observation::Kind::Complete;
+  offer.observation.source = source;
+  offer.observation.asOf = asOf;
+  Offering offering{zone, places, names, until, drained, offer};
   for (const std::string& service : services) {
     const zone::Zone::Set* set = zone.find(service, zone::Type::SRV);
     if (set == nullptr) continue;
     for (const std::string& data : set->data) {
       const auto srv = zone::srvOf(data);
-      if (!srv || srv->target.empty()) continue;
-      const std::string host = resolved(zone, srv->target);
-      Attributes a = attributesOf(zone, host, names, offer.notes);
-      if (drained.count(host) != 0) a.state = ServerState::Draining;
-      bool any = false;
-      for (const zone::Type type : {zone::Type::A, zone::Type::AAAA}) {
-        const zone::Zone::Set* addresses = zone.find(host, type);
-        if (addresses == nullptr) continue;
-        for (const std::string& bytes : addresses->data) {
-          const std::string address = zone::addressOf(type, bytes);
-          membership::Sighting s;
-          s.endpoint = address + ":" + std::to_string(srv->port);
-          s.name = srv->target;
-          s.tier = srv->priority;
-          s.weight = srv->weight;
-          s.until = until;
-          s.state = a.state;
-          s.startedAt = a.startedAt;
-          if (!places.place(address, s) && a.zone < 0) {
-            offer.notes.push_back(s.endpoint + ": no place holds it, and no TXT names its zone");
-            any = true;
-            continue;
-          }
-          if (a.zone >= 0) s.zone = a.zone;
-          if (a.kind >= 0) s.kind = a.kind;
-          if (a.cell >= 0) s.cell = a.cell;
-          any = true;
-          offer.endpoints.insert(s.endpoint);
-          o.seen.push_back(std::move(s));
-        }
-      }
-      if (!any) {
-        // A target whose address is kept elsewhere: what it was is not known to have gone.
-        o.unsure.insert(srv->target);
-        offer.notes.push_back(srv->target + ": a target without an address in the zone");
-      }
+      if (srv && !srv->target.empty()) offering.target(*srv);
     }
   }
   return offer;
--- a/src/zones/script.cpp
+++ b/src/zones/script.cpp
@@ -38,6 +38,7 @@
   Script(const std::string& file, const std::string& origin, std::vector<std::string>& problems)
       : file_(file), origin_(origin), problems_(problems) {}
 
+  // Reads one line into the update `m`.
   void line(std::size_t number, const std::vector<Word>& words, zone::Message& m) {
     number_ = number;
     const std::string& verb = words[0].text;
@@ -47,32 +48,19 @@
     if (words.size() < 2) return wrong(words[0], "expected a name after " + verb);
     if (!name(words[1], r.name)) return;
     std::size_t at = 2;
-    if (verb == "add") {
-      if (words.size() < 5) return wrong(words.back(), "expected add NAME TTL TYPE DATA");
-      const std::string& ttl = words[2].text;
-      if (ttl.empty() || ttl.size() > 9 || ttl.find_first_not_of("0123456789") != std::string::npos)
-        return wrong(words[2], "expected a lifetime in seconds");
-      r.ttl = static_cast<std::uint32_t>(std::stoul(ttl));
-      at = 3;
-    }
-    const bool typed = at < words.size();
-    std::optional<zone::Type> type;
-    if (typed) {
-      type = zone::typeNamed(words[at].text);
-      if (!type) return wrong(words[at], "expected a type: A, AAAA, CNAME, NS, SOA, SRV or TXT");
-      ++at;
-    }
-    r.type = typed ? static_cast<std::uint16_t>(*type) : zone::kTypeAny;
-    const bool withData = at < words.size();
-    if (withData && verb == "need-not") return wrong(words[at], "expected nothing after the type");
-    if (withData && !data(words, at, *type, r.data)) return;
-    if (verb == "need" || verb == "need-not") {
-      r.cls = verb == "need-not" ? zone::kClassNone : withData ? zone::kIn : zone::kClassAny;
-      m.answer.push_back(r);
-    } else {
-      r.cls = verb == "add" ? zone::kIn : withData ? zone::kClassNone : zone::kClassAny;
-      m.authority.push_back(r);
-    }
+    if (verb == "add" && !lifetime(words, at, r.ttl)) return;
+    bool withData = false;
+    if (!typeAndData(words, at, r, withData)) return;
+    const bool prerequisite = verb == "need" || verb == "need-not";
+    if (verb == "need-not")
+      r.cls = zone::kClassNone;
+    else if (verb == "add")
+      r.cls = zone::kIn;
+    else if (prerequisite)
+      r.cls = withData ? zone::kIn : zone::kClassAny;
+    else
+      r.cls = withData ? zone::kClassNone : zone::kClassAny;
+    (prerequisite ? m.answer : m.authority).push_back(r);
   }
 
  private:
@@ -84,6 +72,38 @@
     if (text == "@") return origin_ + ".";
     return text.empty() || text.back() == '.' ? text : text + "." + origin_ + ".";
   }
+  bool lifetime(const std::vector<Word>& words, std::size_t& at, std::uint32_t& ttl) {
+    if (words.size() < 5) {
+      wrong(words.back(), "expected add NAME TTL TYPE DATA");
+      return false;
+    }
+    const std::string& text = words[at].text;
+    if (text.empty() || text.size() > 9 || text.find_first_not_of("0123456789") != std::string::npos) {
+      wrong(words[at], "expected a lifetime in seconds");
+      return false;
+    }
+    ttl = static_cast<std::uint32_t>(std::stoul(text));
+    ++at;
+    return true;
+  }
+  // Both may be left out; `withData` says whether there is data.
+  bool typeAndData(const std::vector<Word>& words, std::size_t at, zone::RawRecord& r, bool& withData) {
+    r.type = zone::kTypeAny;
+    if (at >= words.size()) return true;
+    const auto type = zone::typeNamed(words[at].text);
+    if (!type) {
+      wrong(words[at], "expected a type: A, AAAA, CNAME, NS, SOA, SRV or TXT");
+      return false;
+    }
+    r.type = static_cast<std::uint16_t>(*type);
+    withData = ++at < words.size();
+    if (!withData) return true;
+    if (words[0].text == "need-not") {
+      wrong(words[at], "expected nothing after the type");
+      return false;
+    }
+    return data(words, at, *type, r.data);
+  }
   bool name(const Word& word, std::string& out) {
     const auto wire = zone::encodeField(zone::Type::NS, 0, whole(word.text));
     if (!wire) {
