--- a/bench/zone_bench.cpp
+++ b/bench/zone_bench.cpp
@@ -16,7 +16,7 @@
 #include "standins/relay.h"
 #include "support/loop.h"
 #include "support/program.h"
-#include "zones/script.h"
+#include "zone_server/script.h"
 
 namespace peargrade {
 namespace {
@@ -35,19 +35,19 @@
   ~Folder() { std::filesystem::remove_all(path); }
 };
 
-zone::Key key() {
-  zone::Key k;
+dns_zone::Key key() {
+  dns_zone::Key k;
   k.name = "ops";
-  k.secret = std::make_shared<zone::Secret>("0123456789abcdef");
+  k.secret = std::make_shared<dns_zone::Secret>("0123456789abcdef");
   return k;
 }
 
 std::string request(const std::string& script, std::uint16_t id, std::int64_t now) {
   std::vector<std::string> problems;
-  zone::Message m = zones::readScript(script, "s", "example.org", problems);
+  dns_zone::Message m = zone_server::readScript(script, "s", "example.org", problems);
   m.id = id;
   std::string mac;
-  return zone::sign(zone::encodeMessage(m), key(), now, mac);
+  return dns_zone::sign(dns_zone::encodeMessage(m), key(), now, mac);
 }
 
 std::string add(int k) {
@@ -112,10 +112,10 @@
       udp->send(request(script, id, (base + net::steadyNow()) / kSecond));
     };
     handlers.data = [&](const std::string& bytes) {
-      const auto m = zone::decodeMessage(bytes);
+      const auto m = dns_zone::decodeMessage(bytes);
       if (!m) return;
       ++answered;
-      good += m->rcode == zone::Rcode::NoError;
+      good += m->rcode == dns_zone::Rcode::NoError;
       took.push_back(net::steadyNow() - since[m->id]);
       send();
     };
@@ -149,43 +149,45 @@
   files::Outcome outcome;
   {
     const auto files = files::openFolder(folder.path, true, outcome);
-    files::Store store(*files, "orders", zone::kImageVersion);
+    files::Store store(*files, "orders", dns_zone::kImageVersion);
     store.open();
-    zone::Zone z("example.org");
-    zone::Record soa{"example.org", zone::Type::SOA, 60, ""};
+    dns_zone::Zone z("example.org");
+    dns_zone::Record soa{"example.org", dns_zone::Type::SOA, 60, ""};
     const char* const words[] = {"ns.example.org", "h.example.org", "1", "3600", "600", "86400", "30"};
-    for (std::size_t k = 0; k < 7; ++k) soa.data += *zone::encodeField(zone::Type::SOA, k, words[k]);
+    for (std::size_t k = 0; k < 7; ++k) soa.data += *dns_zone::encodeField(dns_zone::Type::SOA, k, words[k]);
     z.add(soa);
     for (int k = 0; k < records / 2; ++k) {
       const std::string host = "bello-" + std::to_string(k) + ".example.org";
-      z.add({host, zone::Type::A, 60,
-             *zone::encodeField(zone::Type::A, 0,
-                                "10.1." + std::to_string(k / 250 % 250) + "." + std::to_string(k % 250))});
-      z.add({"_o._tcp.example.org", zone::Type::SRV, 60,
-             std::string("\0\0\0\12\13\270", 6) + zone::wireName(host)});
+      z.add(
+          {host, dns_zone::Type::A, 60,
+           *dns_zone::encodeField(dns_zone::Type::A, 0,
+                                  "10.1." + std::to_string(k / 250 % 250) + "." + std::to_string(k % 250))});
+      z.add({"_o._tcp.example.org", dns_zone::Type::SRV, 60,
+             std::string("\0\0\0\12\13\270", 6) + dns_zone::wireName(host)});
     }
-    store.compact(zone::encodeImage(z, {}));
+    store.compact(dns_zone::encodeImage(z, {}));
     std::vector<std::string> steps;
     for (int k = 0; k < 1000; ++k) {
-      zone::Step step;
+      dns_zone::Step step;
       step.change.added = {
-          {"new-" + std::to_string(k) + ".example.org", zone::Type::A, 60, std::string("\1\2\3\4", 4)}};
-      step.request = {"ops", std::string(32, 'm'), static_cast<std::uint16_t>(k), zone::Rcode::NoError, 0, 0};
-      steps.push_back(zone::encodeStep(step));
+          {"new-" + std::to_string(k) + ".example.org", dns_zone::Type::A, 60, std::string("\1\2\3\4", 4)}};
+      step.request = {"ops", std::string(32, 'm'), static_cast<std::uint16_t>(k), dns_zone::Rcode::NoError, 0,
+                      0};
+      steps.push_back(dns_zone::encodeStep(step));
     }
     store.append(steps);
   }
   const long before = residentKb();
   const Micros from = net::steadyNow();
   const auto files = files::openFolder(folder.path, true, outcome);
-  files::Store store(*files, "orders", zone::kImageVersion);
+  files::Store store(*files, "orders", dns_zone::kImageVersion);
   auto contents = store.open();
-  auto image = zone::decodeImage(contents.snapshot);
+  auto image = dns_zone::decodeImage(contents.snapshot);
   for (const std::string& change : contents.changes)
-    zone::redo(image->zone, zone::decodeStep(change)->change);
+    dns_zone::redo(image->zone, dns_zone::decodeStep(change)->change);
   const std::size_t bytes = contents.snapshot.size();
   contents = {};
-  const zone::Acceptor acceptor(std::move(image->zone), {}, {});
+  const dns_zone::Acceptor acceptor(std::move(image->zone), {}, {});
   const Micros took = net::steadyNow() - from;
   std::cout << "| " << acceptor.durable().records() << " | " << bytes / 1024 << " | "
             << static_cast<double>(took) / 1000 << " | " << (residentKb() - before) / 1024 << " |\n"
--- a/src/zone/acceptor.cpp
+++ b/src/dns_zone/acceptor.cpp
@@ -1,8 +1,8 @@
-#include "zone/acceptor.h"
+#include "dns_zone/acceptor.h"
 
 #include <algorithm>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 constexpr std::size_t kHeaderSize = 12;  // of a message (RFC 1035, section 4.1.1)
@@ -259,4 +259,4 @@
   zone_ = std::move(zone);
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/acceptor.h
+++ b/src/dns_zone/acceptor.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "zone/image.h"
-#include "zone/tsig.h"
-#include "zone/update.h"
+#include "dns_zone/image.h"
+#include "dns_zone/tsig.h"
+#include "dns_zone/update.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 struct Grant {
   std::string key;       // canonical name
@@ -93,4 +93,4 @@
   Ticket next_ = 1;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/ages.cpp
+++ b/src/dns_zone/ages.cpp
@@ -1,6 +1,6 @@
-#include "zone/ages.h"
+#include "dns_zone/ages.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 void Ages::restore(const std::set<std::string>& offered, const std::vector<Age>& recent) {
   for (const std::string& endpoint : offered) since_[endpoint] = kLongAgo;
@@ -22,4 +22,4 @@
   return ages;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/ages.h
+++ b/src/dns_zone/ages.h
@@ -9,7 +9,7 @@
 
 #include "peargrade/director.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 struct Age {
   std::string endpoint;
@@ -38,4 +38,4 @@
   std::map<std::string, Micros> since_;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/image.cpp
+++ b/src/dns_zone/image.cpp
@@ -1,6 +1,6 @@
-#include "zone/image.h"
+#include "dns_zone/image.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 class Out {
@@ -145,4 +145,4 @@
   return image;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/image.h
+++ b/src/dns_zone/image.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "zone/ages.h"
-#include "zone/message.h"
-#include "zone/zone.h"
+#include "dns_zone/ages.h"
+#include "dns_zone/message.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 inline constexpr std::uint32_t kImageVersion = 1;
 
@@ -41,4 +41,4 @@
                         const std::vector<Age>& ages = {}, Micros freshAt = 0);
 std::optional<Image> decodeImage(const std::string& bytes);
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/keeper.cpp
+++ b/src/dns_zone/keeper.cpp
@@ -1,6 +1,6 @@
-#include "zone/keeper.h"
+#include "dns_zone/keeper.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 const char* codeOf(Judgement judgement) {
   switch (judgement) {
@@ -42,4 +42,4 @@
   return text;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/keeper.h
+++ b/src/dns_zone/keeper.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "zone/zone.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 enum class Judgement {
   First,       // there was none
@@ -33,4 +33,4 @@
   std::string told_;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/master.cpp
+++ b/src/dns_zone/master.cpp
@@ -1,9 +1,9 @@
-#include "zone/master.h"
+#include "dns_zone/master.h"
 
 #include <algorithm>
 #include <tao/pegtl.hpp>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 namespace p = tao::pegtl;
@@ -421,4 +421,4 @@
   return text;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/master.h
+++ b/src/dns_zone/master.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "zone/zone.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 struct Mistake {
   std::string file;
@@ -45,4 +45,4 @@
 // The zone as a file that reads back the same.
 std::string writeMaster(const Zone& zone);
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/message.cpp
+++ b/src/dns_zone/message.cpp
@@ -1,10 +1,10 @@
-#include "zone/message.h"
+#include "dns_zone/message.h"
 
 #include <ldns/ldns.h>
 
 #include <memory>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 constexpr std::size_t kHeader = 12;
@@ -118,4 +118,4 @@
   return bytes;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/message.h
+++ b/src/dns_zone/message.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "zone/record.h"
+#include "dns_zone/record.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 enum class Opcode { Query = 0, Notify = 4, Update = 5 };
 enum class Rcode {
@@ -65,4 +65,4 @@
 // One record as encodeMessage writes it.
 std::string encodeRecord(const RawRecord& record);
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/record.cpp
+++ b/src/dns_zone/record.cpp
@@ -1,4 +1,4 @@
-#include "zone/record.h"
+#include "dns_zone/record.h"
 
 #include <arpa/inet.h>
 #include <ldns/ldns.h>
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <memory>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 struct RdfFree {
@@ -277,4 +277,4 @@
   return six ? "[" + std::string(text) + "]" : text;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/record.h
+++ b/src/dns_zone/record.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 // The types that a zone of servers is made of; others are refused where they are met.
 enum class Type : std::uint16_t { A = 1, NS = 2, CNAME = 5, SOA = 6, TXT = 16, AAAA = 28, SRV = 33 };
@@ -59,4 +59,4 @@
 std::vector<std::string> textsOf(const std::string& data);  // of TXT
 std::string addressOf(Type type, const std::string& data);  // of A and AAAA; AAAA in brackets
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/secondary.cpp
+++ b/src/dns_zone/secondary.cpp
@@ -1,10 +1,10 @@
-#include "zone/secondary.h"
+#include "dns_zone/secondary.h"
 
 #include <algorithm>
 
-#include "zone/zone.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 constexpr Micros kSecond = 1000000;
@@ -95,4 +95,4 @@
   return ask();
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/secondary.h
+++ b/src/dns_zone/secondary.h
@@ -5,10 +5,10 @@
 #include <cstddef>
 #include <optional>
 
+#include "dns_zone/record.h"
 #include "peargrade/director.h"
-#include "zone/record.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 class Secondary {
  public:
@@ -65,4 +65,4 @@
   std::optional<std::size_t> notified_;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/transfer.cpp
+++ b/src/dns_zone/transfer.cpp
@@ -1,6 +1,6 @@
-#include "zone/transfer.h"
+#include "dns_zone/transfer.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 Transfer::Transfer(const std::string& origin, const Zone* now, std::size_t recordsMost)
     : origin_(origin), now_(now), recordsMost_(recordsMost), zone_(origin) {}
@@ -139,4 +139,4 @@
   return state_;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/transfer.h
+++ b/src/dns_zone/transfer.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <string>
 
-#include "zone/message.h"
-#include "zone/zone.h"
+#include "dns_zone/message.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 class Transfer {
  public:
@@ -55,4 +55,4 @@
   std::size_t records_ = 0, messages_ = 0;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/tsig.cpp
+++ b/src/dns_zone/tsig.cpp
@@ -1,4 +1,4 @@
-#include "zone/tsig.h"
+#include "dns_zone/tsig.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -10,7 +10,7 @@
 #include <cstring>
 #include <new>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 constexpr std::size_t kMacLeast = 10;  // and half of the whole (RFC 8945, section 5.2.2.1)
@@ -196,4 +196,4 @@
   return withRecord(message, f);
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/tsig.h
+++ b/src/dns_zone/tsig.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "zone/message.h"
+#include "dns_zone/message.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 // Bytes that nobody else sees: on a page of their own that goes into no core dump, wiped at the end. It has
 // no way to be printed.
@@ -76,4 +76,4 @@
 std::string signRefusal(const std::string& message, const Checked& checked, const Keys& keys,
                         std::int64_t now);
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/update.cpp
+++ b/src/dns_zone/update.cpp
@@ -1,8 +1,8 @@
-#include "zone/update.h"
+#include "dns_zone/update.h"
 
 #include <algorithm>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 struct Wrong {
@@ -198,4 +198,4 @@
   for (const Record& r : change.added) zone.add(r);
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/update.h
+++ b/src/dns_zone/update.h
@@ -4,10 +4,10 @@
 #include <string>
 #include <vector>
 
-#include "zone/message.h"
-#include "zone/zone.h"
+#include "dns_zone/message.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 struct Applied {
   Rcode rcode = Rcode::NoError;
@@ -24,4 +24,4 @@
 void undo(Zone& zone, const Difference& change);
 void redo(Zone& zone, const Difference& change);
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/zone.cpp
+++ b/src/dns_zone/zone.cpp
@@ -1,8 +1,8 @@
-#include "zone/zone.h"
+#include "dns_zone/zone.h"
 
 #include <algorithm>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 bool later(std::uint32_t a, std::uint32_t b) {
   const std::uint32_t ahead = a - b;
@@ -103,4 +103,4 @@
   return d;
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/zone.h
+++ b/src/dns_zone/zone.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "zone/record.h"
+#include "dns_zone/record.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 // Serial arithmetic (RFC 1982, with 32 bits): is `a` later than `b`? Of two that are half the circle apart
 // neither is.
@@ -77,4 +77,4 @@
 };
 Difference difference(const Zone& from, const Zone& to);
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/places/places.cpp
+++ b/src/locality/places.cpp
@@ -1,10 +1,10 @@
-#include "places/places.h"
+#include "locality/places.h"
 
 #include <arpa/inet.h>
 
 #include <algorithm>
 
-namespace peargrade::places {
+namespace peargrade::locality {
 
 Places::Places(const std::vector<op::Place>& places, const discovery::Names& names) {
   for (const op::Place& p : places)
@@ -25,4 +25,4 @@
   return false;
 }
 
-}  // namespace peargrade::places
+}  // namespace peargrade::locality
--- a/src/places/places.h
+++ b/src/locality/places.h
@@ -9,7 +9,7 @@
 #include "membership/membership.h"
 #include "operator/operator.h"
 
-namespace peargrade::places {
+namespace peargrade::locality {
 
 // Where servers of a source stand, by their address.
 class Places {
@@ -26,4 +26,4 @@
   std::vector<At> places_;
 };
 
-}  // namespace peargrade::places
+}  // namespace peargrade::locality
--- a/src/sources/front.h
+++ b/src/sources/front.h
@@ -13,7 +13,7 @@
 #include "exchange/exchange.h"
 #include "log/log.h"
 #include "operator/operator.h"
-#include "zones/commands.h"
+#include "zone_server/commands.h"
 
 namespace peargrade::sources {
 
@@ -40,7 +40,7 @@
   virtual void explain() = 0;
 };
 
-using zones::ZoneAsked;
+using zone_server::ZoneAsked;
 struct LookupAsked {
   std::string name;
   std::vector<std::string> servers;
--- a/src/sources/module.cpp
+++ b/src/sources/module.cpp
@@ -4,7 +4,7 @@
 #include "sources/build.h"
 #include "sources/commands.h"
 #include "sources/sources.h"
-#include "zones/commands.h"
+#include "zone_server/commands.h"
 
 namespace peargrade::sources {
 namespace {
@@ -21,6 +21,6 @@
 peargrade_sources_module() {
   static const peargrade::sources::Module module{peargrade::sources::kBuild, peargrade::sources::open,
                                                  peargrade::sources::lookup, peargrade::sources::explain,
-                                                 peargrade::zones::command};
+                                                 peargrade::zone_server::command};
   return &module;
 }
--- a/src/sources/sources.cpp
+++ b/src/sources/sources.cpp
@@ -54,9 +54,9 @@
     watches_.back().again.in(0);
     labels_.push_back("srv " + srv.label);
   }
-  if (!around_.op->zones.empty()) worker_ = std::make_unique<zones::Worker>(around_.base);
-  const zones::Context zoneContext{around_.base, around_.names, around_.log, around_.clock,
-                                   around_.op->merge.firstAnswerWarm};
+  if (!around_.op->zones.empty()) worker_ = std::make_unique<zone_server::Worker>(around_.base);
+  const zone_server::Context zoneContext{around_.base, around_.names, around_.log, around_.clock,
+                                         around_.op->merge.firstAnswerWarm};
   for (const op::Zone& zone : around_.op->zones) {
     zones_.emplace_back(zoneContext, zone, number++, *worker_,
                         [this](const membership::Observation& o) { observe(o); });
@@ -88,12 +88,12 @@
 }
 
 void Sources::reload() {
-  for (zones::ZoneSource& zone : zones_) zone.reload();
+  for (zone_server::ZoneSource& zone : zones_) zone.reload();
 }
 
 bool Sources::askedAll() const {
   const bool zones =
-      std::all_of(zones_.begin(), zones_.end(), [](const zones::ZoneSource& z) { return z.ready(); });
+      std::all_of(zones_.begin(), zones_.end(), [](const zone_server::ZoneSource& z) { return z.ready(); });
   if (!zones) return false;
   return std::all_of(watches_.begin(), watches_.end(), [](const Watch& w) { return w.asked; });
 }
--- a/src/sources/sources.h
+++ b/src/sources/sources.h
@@ -11,7 +11,7 @@
 #include "net/net.h"
 #include "sources/front.h"
 #include "sources/view.h"
-#include "zones/zonesource.h"
+#include "zone_server/zonesource.h"
 
 namespace peargrade::sources {
 
@@ -27,7 +27,7 @@
   void explain() override;
   void reload() override;
 
-  const std::list<zones::ZoneSource>& zones() const { return zones_; }
+  const std::list<zone_server::ZoneSource>& zones() const { return zones_; }
   const membership::Membership& membership() const { return membership_; }
   const dns::Resolver& resolver() const { return resolver_; }
   dns::Resolver& resolver() { return resolver_; }
@@ -39,7 +39,7 @@
     Watch(Sources& owner, std::size_t number, const op::Srv& srv);
     const std::size_t number;
     const op::Srv& srv;
-    const places::Places places;
+    const locality::Places places;
     dns::Pace pace;
     net::Timer again;
     bool asked = false;
@@ -57,9 +57,9 @@
   dns::Resolver resolver_;
   membership::Membership membership_;
   std::list<Watch> watches_;
-  std::vector<std::string> labels_;        // of the sources of records, in their order
-  std::unique_ptr<zones::Worker> worker_;  // before zones_, whose jobs it runs
-  std::list<zones::ZoneSource> zones_;
+  std::vector<std::string> labels_;              // of the sources of records, in their order
+  std::unique_ptr<zone_server::Worker> worker_;  // before zones_, whose jobs it runs
+  std::list<zone_server::ZoneSource> zones_;
   net::Timer turn_;
   std::uint64_t overfull_ = 0;  // as told
   bool known_ = false;          // the exchange was told that the list is known
--- a/src/sources/view.cpp
+++ b/src/sources/view.cpp
@@ -3,7 +3,7 @@
 namespace peargrade::sources {
 
 membership::Observation observed(const dns::Service& service, std::size_t source,
-                                 const places::Places& places, std::size_t& misplaced) {
+                                 const locality::Places& places, std::size_t& misplaced) {
   membership::Observation o;
   o.kind = service.kind == dns::Service::Kind::Complete ? membership::Observation::Kind::Complete
                                                         : membership::Observation::Kind::Partial;
--- a/src/sources/view.h
+++ b/src/sources/view.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include "dns/srv.h"
+#include "locality/places.h"
 #include "membership/membership.h"
-#include "places/places.h"
 
 namespace peargrade::sources {
 
 // `misplaced` counts addresses that no place holds: they are left out.
 membership::Observation observed(const dns::Service& service, std::size_t source,
-                                 const places::Places& places, std::size_t& misplaced);
+                                 const locality::Places& places, std::size_t& misplaced);
 
 }  // namespace peargrade::sources
--- a/src/zones/commands.cpp
+++ b/src/zone_server/commands.cpp
@@ -1,4 +1,4 @@
-#include "zones/commands.h"
+#include "zone_server/commands.h"
 
 #include <rapidjson/ostreamwrapper.h>
 #include <rapidjson/prettywriter.h>
@@ -13,16 +13,16 @@
 #include <random>
 #include <sstream>
 
+#include "dns_zone/master.h"
+#include "dns_zone/tsig.h"
+#include "dns_zone/update.h"
 #include "net/datagram.h"
 #include "net/net.h"
-#include "zone/master.h"
-#include "zone/tsig.h"
-#include "zone/update.h"
-#include "zones/disk.h"
-#include "zones/keyfile.h"
-#include "zones/script.h"
+#include "zone_server/disk.h"
+#include "zone_server/keyfile.h"
+#include "zone_server/script.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 using Writer = rapidjson::PrettyWriter<rapidjson::OStreamWrapper>;
@@ -36,20 +36,20 @@
   out.String(value.c_str(), static_cast<rapidjson::SizeType>(value.size()));
 }
 
-zone::Reading readFile(const ZoneAsked& asked, const std::string& file) {
+dns_zone::Reading readFile(const ZoneAsked& asked, const std::string& file) {
   std::string folder = asked.folder, name = file;
   if (folder.empty()) {
     const auto slash = file.rfind('/');
     folder = slash == std::string::npos ? "." : file.substr(0, slash + 1);
     name = slash == std::string::npos ? file : file.substr(slash + 1);
   }
-  return zone::readMaster(name, asked.origin, readerOf(folder));
+  return dns_zone::readMaster(name, asked.origin, readerOf(folder));
 }
 
-void mistakes(Writer& out, const char* key, const std::vector<zone::Mistake>& all) {
+void mistakes(Writer& out, const char* key, const std::vector<dns_zone::Mistake>& all) {
   out.Key(key);
   out.StartArray();
-  for (const zone::Mistake& m : all) {
+  for (const dns_zone::Mistake& m : all) {
     out.StartObject();
     text(out, "file", m.file);
     out.Key("line");
@@ -63,23 +63,23 @@
   out.EndArray();
 }
 
-void records(Writer& out, const char* key, const std::vector<zone::Record>& all) {
+void records(Writer& out, const char* key, const std::vector<dns_zone::Record>& all) {
   out.Key(key);
   out.StartArray();
-  for (const zone::Record& r : all) {
+  for (const dns_zone::Record& r : all) {
     out.StartObject();
     text(out, "name", r.name);
     out.Key("ttl");
     out.Uint(r.ttl);
-    text(out, "type", zone::nameOf(r.type));
-    text(out, "data", zone::textOf(r.type, r.data));
+    text(out, "type", dns_zone::nameOf(r.type));
+    text(out, "data", dns_zone::textOf(r.type, r.data));
     out.EndObject();
   }
   out.EndArray();
 }
 
 int check(const ZoneAsked& asked) {
-  const zone::Reading r = readFile(asked, asked.files[0]);
+  const dns_zone::Reading r = readFile(asked, asked.files[0]);
   if (asked.json) {
     rapidjson::OStreamWrapper stream(std::cout);
     Writer out(stream);
@@ -95,8 +95,8 @@
     out.EndObject();
     std::cout << '\n';
   } else {
-    for (const zone::Mistake& m : r.mistakes) std::cout << m.text() << '\n';
-    for (const zone::Mistake& m : r.doubts) std::cout << "doubt: " << m.text() << '\n';
+    for (const dns_zone::Mistake& m : r.mistakes) std::cout << m.text() << '\n';
+    for (const dns_zone::Mistake& m : r.doubts) std::cout << "doubt: " << m.text() << '\n';
     if (r.mistakes.empty())
       std::cout << asked.origin << ": good, serial " << r.zone.serial() << ", " << r.zone.records()
                 << " records\n";
@@ -105,11 +105,11 @@
 }
 
 int show(const ZoneAsked& asked) {
-  const zone::Reading r = readFile(asked, asked.files[0]);
-  for (const zone::Mistake& m : r.mistakes) std::cerr << m.text() << '\n';
+  const dns_zone::Reading r = readFile(asked, asked.files[0]);
+  for (const dns_zone::Mistake& m : r.mistakes) std::cerr << m.text() << '\n';
   if (!r.mistakes.empty()) return 1;
   if (!asked.json) {
-    std::cout << zone::writeMaster(r.zone);
+    std::cout << dns_zone::writeMaster(r.zone);
     return 0;
   }
   rapidjson::OStreamWrapper stream(std::cout);
@@ -125,12 +125,12 @@
 }
 
 int diff(const ZoneAsked& asked) {
-  const zone::Reading from = readFile(asked, asked.files[0]), to = readFile(asked, asked.files[1]);
-  for (const zone::Reading* r : {&from, &to}) {
-    for (const zone::Mistake& m : r->mistakes) std::cerr << m.text() << '\n';
+  const dns_zone::Reading from = readFile(asked, asked.files[0]), to = readFile(asked, asked.files[1]);
+  for (const dns_zone::Reading* r : {&from, &to}) {
+    for (const dns_zone::Mistake& m : r->mistakes) std::cerr << m.text() << '\n';
   }
   if (!from.mistakes.empty() || !to.mistakes.empty()) return 2;
-  const zone::Difference d = zone::difference(from.zone, to.zone);
+  const dns_zone::Difference d = dns_zone::difference(from.zone, to.zone);
   if (asked.json) {
     rapidjson::OStreamWrapper stream(std::cout);
     Writer out(stream);
@@ -141,9 +141,9 @@
     std::cout << '\n';
   } else {
     for (const auto& [mark, all] : {std::pair("- ", &d.removed), std::pair("+ ", &d.added)}) {
-      for (const zone::Record& r : *all)
-        std::cout << mark << r.name << ". " << r.ttl << " " << zone::nameOf(r.type) << " "
-                  << zone::textOf(r.type, r.data) << '\n';
+      for (const dns_zone::Record& r : *all)
+        std::cout << mark << r.name << ". " << r.ttl << " " << dns_zone::nameOf(r.type) << " "
+                  << dns_zone::textOf(r.type, r.data) << '\n';
     }
   }
   return d.empty() ? 0 : 1;
@@ -218,7 +218,7 @@
 struct SignedUpdate {
   std::uint16_t id = 0;
   std::string bytes, mac;
-  zone::Keys keys;
+  dns_zone::Keys keys;
 };
 
 // From the files that the command line names; nothing, with a line on standard error for each problem.
@@ -227,14 +227,14 @@
   SignedUpdate update;
   update.keys = readKeys(asked.key, problems);
   const std::string script = readInput(asked.files[0], problems);
-  zone::Message m = readScript(script, asked.files[0], asked.origin, problems);
-  const zone::Key* key = asked.label.empty() ? update.keys.only() : update.keys.find(asked.label);
+  dns_zone::Message m = readScript(script, asked.files[0], asked.origin, problems);
+  const dns_zone::Key* key = asked.label.empty() ? update.keys.only() : update.keys.find(asked.label);
   if (problems.empty() && key == nullptr) problems.push_back("--name has to say which key of " + asked.key);
   for (const std::string& p : problems) std::cerr << "peargrade: " << p << '\n';
   if (!problems.empty()) return std::nullopt;
   std::random_device device;
   m.id = update.id = static_cast<std::uint16_t>(device());
-  update.bytes = zone::sign(zone::encodeMessage(m), *key, std::time(nullptr), update.mac);
+  update.bytes = dns_zone::sign(dns_zone::encodeMessage(m), *key, std::time(nullptr), update.mac);
   if (update.bytes.size() <= kMessageMost) return update;
   std::cerr << "peargrade: more than one message holds\n";
   return std::nullopt;
@@ -242,14 +242,16 @@
 
 // The answer that these bytes are; nothing where they are none, or lack the signature that they need: a
 // refusal may come unsigned, that it was accepted has to be signed. `doubt` says what was left out.
-std::optional<zone::Message> answerFrom(const std::string& bytes, const SignedUpdate& update,
-                                        std::string& doubt) {
-  auto decoded = zone::decodeMessage(bytes);
+std::optional<dns_zone::Message> answerFrom(const std::string& bytes, const SignedUpdate& update,
+                                            std::string& doubt) {
+  auto decoded = dns_zone::decodeMessage(bytes);
   if (!decoded || !decoded->response || decoded->id != update.id) return std::nullopt;
   const bool isSigned = decoded->tsigAt.has_value();
-  const auto checked =
-      isSigned ? zone::check(bytes, *decoded, update.keys, std::time(nullptr), update.mac) : zone::Checked{};
-  if (decoded->rcode == zone::Rcode::NoError && (!isSigned || checked.rcode != zone::Rcode::NoError)) {
+  const auto checked = isSigned
+                           ? dns_zone::check(bytes, *decoded, update.keys, std::time(nullptr), update.mac)
+                           : dns_zone::Checked{};
+  if (decoded->rcode == dns_zone::Rcode::NoError &&
+      (!isSigned || checked.rcode != dns_zone::Rcode::NoError)) {
     doubt = "an answer without a good signature was left out";
     return std::nullopt;
   }
@@ -269,14 +271,14 @@
   bool over = false;
   net::Timer limit(base.get(), [&over] { over = true; });
   limit.in(asked.within);
-  std::optional<zone::Message> answer;
+  std::optional<dns_zone::Message> answer;
   std::string doubt;
   while (!over && !answer) {
     event_base_loop(base.get(), EVLOOP_ONCE);
     if (!asking.answer.empty()) answer = answerFrom(std::exchange(asking.answer, ""), *update, doubt);
   }
-  const bool accepted = answer && answer->rcode == zone::Rcode::NoError;
-  const std::string word = answer ? zone::nameOf(answer->rcode) : "no answer";
+  const bool accepted = answer && answer->rcode == dns_zone::Rcode::NoError;
+  const std::string word = answer ? dns_zone::nameOf(answer->rcode) : "no answer";
   if (asked.json) {
     rapidjson::OStreamWrapper stream(std::cout);
     Writer out(stream);
@@ -318,4 +320,4 @@
   return accept(asked);
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/commands.h
+++ b/src/zone_server/commands.h
@@ -7,7 +7,7 @@
 #include "log/log.h"
 #include "peargrade/director.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 // One command line of `peargrade zone`.
 struct ZoneAsked {
@@ -23,4 +23,4 @@
 // accepted, 1 refused, 3 no answer. accept: 0 noted, 1 not. Wrong words: 2.
 int command(const ZoneAsked& asked, log::Log& log);
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/context.h
+++ b/src/zone_server/context.h
@@ -9,7 +9,7 @@
 #include "log/log.h"
 #include "peargrade/director.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 // All of it outlives the ZoneSource.
 struct Context {
@@ -21,4 +21,4 @@
       false;  // what the zone offers first has run for long (operator's `first-answer-warm`)
 };
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/disk.cpp
+++ b/src/zone_server/disk.cpp
@@ -1,4 +1,4 @@
-#include "zones/disk.h"
+#include "zone_server/disk.h"
 
 #include <sys/stat.h>
 
@@ -7,7 +7,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr std::size_t kFileMost = std::size_t{256} << 20;
@@ -46,7 +46,7 @@
   stored.damaged =
       contents.found == Found::Newer || contents.found == Found::Damaged || contents.found == Found::Failed;
   if (contents.found != Found::Whole) return;
-  stored.image = zone::decodeImage(contents.snapshot);
+  stored.image = dns_zone::decodeImage(contents.snapshot);
   if (!stored.image || stored.image->zone.origin() != zone.origin) {
     stored.errors.push_back(zone.state + ": holds another zone, or one that cannot be read");
     stored.image.reset();
@@ -54,7 +54,7 @@
     return;
   }
   for (const std::string& change : contents.changes) {
-    if (auto step = zone::decodeStep(change)) stored.steps.push_back(std::move(*step));
+    if (auto step = dns_zone::decodeStep(change)) stored.steps.push_back(std::move(*step));
   }
 }
 
@@ -76,7 +76,7 @@
     stored.damaged = true;
     return stored;
   }
-  disk.store = std::make_unique<files::Store>(*disk.files, zone.label, zone::kImageVersion);
+  disk.store = std::make_unique<files::Store>(*disk.files, zone.label, dns_zone::kImageVersion);
   readContents(zone, disk.store->open(), stored);
   return stored;
 }
@@ -94,7 +94,7 @@
   found.accepted = acceptedSerial(zone);
   found.signature = signatureOf(zone.folder, filesIn(last, zone.file));
   if (!always && !found.accepted && found.signature == last) return found;
-  found.reading = zone::readMaster(zone.file, zone.origin, readerOf(zone.folder));
+  found.reading = dns_zone::readMaster(zone.file, zone.origin, readerOf(zone.folder));
   const std::vector<std::string>& read = found.reading->files;
   found.signature = signatureOf(zone.folder, read.empty() ? std::vector<std::string>{zone.file} : read);
   return found;
@@ -112,7 +112,7 @@
   return std::nullopt;
 }
 
-zone::ReadFile readerOf(const std::string& folder) {
+dns_zone::ReadFile readerOf(const std::string& folder) {
   return [folder](const std::string& path, std::string& text, std::string& why) {
     namespace fs = std::filesystem;
     std::error_code error;
@@ -143,4 +143,4 @@
   };
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/disk.h
+++ b/src/zone_server/disk.h
@@ -9,12 +9,12 @@
 #include <string>
 #include <vector>
 
+#include "dns_zone/image.h"
+#include "dns_zone/master.h"
 #include "files/store.h"
 #include "operator/operator.h"
-#include "zone/image.h"
-#include "zone/master.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 // The store of one zone. Lives on the worker's thread once the source has begun; the source only passes it
 // on.
@@ -27,8 +27,8 @@
 struct StoredZone {
   std::vector<std::string> errors, notes;  // for the log, without the zone's label
   bool damaged = false;                    // nothing is to be written there
-  std::optional<zone::Image> image;
-  std::vector<zone::Step> steps;  // changes behind the image, in order
+  std::optional<dns_zone::Image> image;
+  std::vector<dns_zone::Step> steps;  // changes behind the image, in order
 };
 // Opens the store in the zone's state folder; without such a folder there is nothing to open.
 StoredZone openStore(const op::Zone& zone, DiskStore& disk);
@@ -43,9 +43,9 @@
 
 // The zone file as it was found.
 struct FileReading {
-  std::optional<zone::Reading> reading;   // nothing: the file is as it was read last
-  std::string signature;                  // inode, size and time of the file and all that it includes
-  std::optional<std::uint32_t> accepted;  // the serial that an operator accepted
+  std::optional<dns_zone::Reading> reading;  // nothing: the file is as it was read last
+  std::string signature;                     // inode, size and time of the file and all that it includes
+  std::optional<std::uint32_t> accepted;     // the serial that an operator accepted
 };
 // Reads the file if `always`, if a serial was accepted, or if its signature is not `last`.
 FileReading readIfChanged(const op::Zone& zone, const std::string& last, bool always);
@@ -56,6 +56,6 @@
 std::optional<std::uint32_t> acceptedSerial(const op::Zone& zone);
 
 // Reads zone files within their folder, at most 256 MiB each; links out of the folder are refused.
-zone::ReadFile readerOf(const std::string& folder);
+dns_zone::ReadFile readerOf(const std::string& folder);
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/follower.cpp
+++ b/src/zone_server/follower.cpp
@@ -1,9 +1,9 @@
-#include "zones/follower.h"
+#include "zone_server/follower.h"
 
 #include <algorithm>
 #include <random>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 std::uint32_t drawn() {
@@ -11,8 +11,8 @@
   return static_cast<std::uint32_t>(device());
 }
 
-zone::Secondary::Settings settingsOf(std::size_t primaries) {
-  zone::Secondary::Settings s;
+dns_zone::Secondary::Settings settingsOf(std::size_t primaries) {
+  dns_zone::Secondary::Settings s;
   s.primaries = primaries;
   return s;
 }
@@ -45,9 +45,9 @@
 Follower::~Follower() { close(log::Reason::Stopping); }
 
 void Follower::begin(Micros freshAt) {
-  const zone::Zone* held = handlers_.held();
-  carryOut(secondary_.begin(held == nullptr ? std::nullopt : std::optional<zone::Soa>(held->soa()), freshAt,
-                            clock_()));
+  const dns_zone::Zone* held = handlers_.held();
+  carryOut(secondary_.begin(held == nullptr ? std::nullopt : std::optional<dns_zone::Soa>(held->soa()),
+                            freshAt, clock_()));
 }
 
 bool Follower::notified(const std::string& host) {
@@ -60,15 +60,15 @@
   return true;
 }
 
-void Follower::carryOut(const zone::Secondary::Step& step) {
+void Follower::carryOut(const dns_zone::Secondary::Step& step) {
   step_ = step;
   due_.cancel();
   switch (step.what) {
-    case zone::Secondary::Step::Do::Wait:
+    case dns_zone::Secondary::Step::Do::Wait:
       return due_.in(step.at - clock_());
-    case zone::Secondary::Step::Do::AskSoa:
+    case dns_zone::Secondary::Step::Do::AskSoa:
       return askSoa();
-    case zone::Secondary::Step::Do::Transfer:
+    case dns_zone::Secondary::Step::Do::Transfer:
       return transfer();
   }
 }
@@ -83,42 +83,42 @@
     failed(why);
   };
   udp_ = std::make_unique<net::Datagram>(base_, primaries_[step_.primary], drawn, std::move(handlers));
-  zone::Message m;
+  dns_zone::Message m;
   m.id = id_;
   m.hasQuestion = true;
   m.name = origin_;
-  m.type = static_cast<std::uint16_t>(zone::Type::SOA);
+  m.type = static_cast<std::uint16_t>(dns_zone::Type::SOA);
   wait_.in(limits_.soa);
-  udp_->send(zone::encodeMessage(m));
+  udp_->send(dns_zone::encodeMessage(m));
 }
 
 void Follower::onSoa(const std::string& bytes) {
-  const auto m = zone::decodeMessage(bytes);
+  const auto m = dns_zone::decodeMessage(bytes);
   // Not the answer: the wait for that goes on.
   if (!m || !m->response || m->id != id_ || !m->hasQuestion || m->name != origin_) return;
   close(log::Reason::NotWanted);
-  for (const zone::RawRecord& r : m->answer) {
-    if (r.type != static_cast<std::uint16_t>(zone::Type::SOA) || r.name != origin_) continue;
-    const auto soa = zone::soaOf(r.data);
+  for (const dns_zone::RawRecord& r : m->answer) {
+    if (r.type != static_cast<std::uint16_t>(dns_zone::Type::SOA) || r.name != origin_) continue;
+    const auto soa = dns_zone::soaOf(r.data);
     if (!soa) continue;
-    const zone::Zone* held = handlers_.held();
+    const dns_zone::Zone* held = handlers_.held();
     const bool same = held != nullptr && held->serial() == soa->serial;
     carryOut(secondary_.answered(soa->serial, clock_()));
     if (same) handlers_.fresh();
     return;
   }
-  failed(std::string("no SOA: ") + zone::nameOf(m->rcode));
+  failed(std::string("no SOA: ") + dns_zone::nameOf(m->rcode));
 }
 
 void Follower::transfer() {
-  transfer_ =
-      std::make_unique<zone::Transfer>(origin_, step_.whole ? nullptr : handlers_.held(), limits_.records);
+  transfer_ = std::make_unique<dns_zone::Transfer>(origin_, step_.whole ? nullptr : handlers_.held(),
+                                                   limits_.records);
   ++(step_.whole ? counts_.whole : counts_.changes);
   id_ = static_cast<std::uint16_t>(drawn());
   input_.clear();
   net::Stream::Handlers handlers;
   handlers.up = [this] {
-    const std::string body = zone::encodeMessage(transfer_->question(id_));
+    const std::string body = dns_zone::encodeMessage(transfer_->question(id_));
     tcp_->send(std::string{static_cast<char>(body.size() >> 8), static_cast<char>(body.size() & 255)} + body);
   };
   handlers.data = [this](evbuffer* input) { onTransfer(input); };
@@ -140,29 +140,29 @@
     const std::size_t due = static_cast<std::size_t>(static_cast<unsigned char>(input_[done])) << 8 |
                             static_cast<unsigned char>(input_[done + 1]);
     if (input_.size() - done < 2 + due) break;
-    const auto m = zone::decodeMessage(input_.substr(done + 2, due));
+    const auto m = dns_zone::decodeMessage(input_.substr(done + 2, due));
     done += 2 + due;
     if (!m || m->id != id_) {
       close(log::Reason::BadMessage);
       return failed("a message that is no answer");
     }
     wait_.in(limits_.silence);
-    const zone::Transfer::State state = transfer_->take(*m);
-    if (state == zone::Transfer::State::More) continue;
-    const std::unique_ptr<zone::Transfer> over = std::move(transfer_);
-    close(state == zone::Transfer::State::Failed ? log::Reason::BadAnswer : log::Reason::NotWanted);
-    if (state == zone::Transfer::State::Failed) return failed(over->why());
-    if (state == zone::Transfer::State::Unfit) {
+    const dns_zone::Transfer::State state = transfer_->take(*m);
+    if (state == dns_zone::Transfer::State::More) continue;
+    const std::unique_ptr<dns_zone::Transfer> over = std::move(transfer_);
+    close(state == dns_zone::Transfer::State::Failed ? log::Reason::BadAnswer : log::Reason::NotWanted);
+    if (state == dns_zone::Transfer::State::Failed) return failed(over->why());
+    if (state == dns_zone::Transfer::State::Unfit) {
       ++counts_.unfit;
       log_.warn("zones") << label_ << ": changes from " << primaries_[step_.primary].text() << " do not fit ("
                          << over->why() << "), the whole is asked for code=unfit";
       return carryOut(secondary_.unfit(clock_()));
     }
-    if (state == zone::Transfer::State::UpToDate) {
+    if (state == dns_zone::Transfer::State::UpToDate) {
       carryOut(secondary_.transferred(handlers_.held()->soa(), clock_()));
       return handlers_.fresh();
     }
-    const zone::Zone zone = over->zone();
+    const dns_zone::Zone zone = over->zone();
     if (handlers_.came(zone)) {
       carryOut(secondary_.transferred(zone.soa(), clock_()));
       return handlers_.fresh();
@@ -191,4 +191,4 @@
   tcp_.reset();
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/follower.h
+++ b/src/zone_server/follower.h
@@ -1,18 +1,18 @@
-// A secondary's sockets: asks primaries for their SOA over UDP and for transfers over TCP, as zone::Secondary
-// says.
+// A secondary's sockets: asks primaries for their SOA over UDP and for transfers over TCP, as
+// dns_zone::Secondary says.
 #pragma once
 
 #include <functional>
 #include <memory>
 #include <vector>
 
+#include "dns_zone/secondary.h"
+#include "dns_zone/transfer.h"
 #include "log/log.h"
 #include "net/datagram.h"
 #include "net/net.h"
-#include "zone/secondary.h"
-#include "zone/transfer.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 class Follower {
  public:
@@ -23,9 +23,9 @@
     std::size_t records = 1000000;
   };
   struct Handlers {
-    std::function<const zone::Zone*()> held;
+    std::function<const dns_zone::Zone*()> held;
     // A whole zone has come; false: it is not taken.
-    std::function<bool(const zone::Zone&)> came;
+    std::function<bool(const dns_zone::Zone&)> came;
     std::function<void()> fresh;  // what is held is as new as the primary's, or has a new end
   };
   Follower(event_base* base, const std::string& label, const std::string& origin,
@@ -44,7 +44,7 @@
   const Counts& counts() const { return counts_; }
 
  private:
-  void carryOut(const zone::Secondary::Step& step);
+  void carryOut(const dns_zone::Secondary::Step& step);
   void askSoa();
   void onSoa(const std::string& bytes);
   void transfer();
@@ -59,16 +59,16 @@
   log::Log& log_;
   const Limits limits_;
   const Handlers handlers_;
-  zone::Secondary secondary_;
-  zone::Secondary::Step step_;
+  dns_zone::Secondary secondary_;
+  dns_zone::Secondary::Step step_;
   std::uint16_t id_ = 0;
   std::unique_ptr<net::Datagram> udp_;
   std::unique_ptr<net::Stream> tcp_;
-  std::unique_ptr<zone::Transfer> transfer_;
+  std::unique_ptr<dns_zone::Transfer> transfer_;
   std::string input_;
   net::Timer due_;
   net::Limit wait_, whole_;
   Counts counts_;
 };
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/keyfile.cpp
+++ b/src/zone_server/keyfile.cpp
@@ -1,4 +1,4 @@
-#include "zones/keyfile.h"
+#include "zone_server/keyfile.h"
 
 #include <fcntl.h>
 #include <openssl/crypto.h>
@@ -13,7 +13,7 @@
 
 #include "kdl/kdl.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr std::size_t kFileMost = 65536;
@@ -48,7 +48,7 @@
 // Reads one `key` node into the keys, if all of it is good.
 class KeyNode {
  public:
-  KeyNode(const std::string& file, zone::Keys& keys, std::vector<std::string>& problems)
+  KeyNode(const std::string& file, dns_zone::Keys& keys, std::vector<std::string>& problems)
       : file_(file), keys_(keys), problems_(problems) {}
 
   void read(kdl::Node& node) {
@@ -57,7 +57,7 @@
     if (good_ && !hasSecret_) bad(node.place, "expected secret=\"BASE64\"");
     if (good_ && keys_.find(key_.name) != nullptr) bad(node.place, "expected a name of its own for each key");
     if (!good_) return;
-    key_.secret = std::make_shared<zone::Secret>(secret_.text);
+    key_.secret = std::make_shared<dns_zone::Secret>(secret_.text);
     keys_.put(std::move(key_));
   }
 
@@ -75,7 +75,7 @@
       key_.name = node.arguments[0].text;
     for (char& c : key_.name) c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
     if (!key_.name.empty() && key_.name.back() == '.') key_.name.pop_back();
-    if (good_ && (key_.name.empty() || !zone::encodeField(zone::Type::NS, 0, key_.name)))
+    if (good_ && (key_.name.empty() || !dns_zone::encodeField(dns_zone::Type::NS, 0, key_.name)))
       bad(node.place, "expected a domain name as the name of the key");
   }
 
@@ -83,7 +83,7 @@
     const std::string& value = p.value.text;
     if (p.name == "algorithm") {
       if (value == "hmac-sha512")
-        key_.algorithm = zone::Algorithm::HmacSha512;
+        key_.algorithm = dns_zone::Algorithm::HmacSha512;
       else if (value != "hmac-sha256")
         bad(p.value.place, "expected \"hmac-sha256\" or \"hmac-sha512\"");
     } else if (p.name == "secret") {
@@ -100,9 +100,9 @@
   }
 
   const std::string& file_;
-  zone::Keys& keys_;
+  dns_zone::Keys& keys_;
   std::vector<std::string>& problems_;
-  zone::Key key_;
+  dns_zone::Key key_;
   Wiped secret_;
   bool hasSecret_ = false, good_ = true;
 };
@@ -127,18 +127,19 @@
   return true;
 }
 
-zone::Keys parseKeys(const std::string& text, const std::string& file, std::vector<std::string>& problems) {
-  zone::Keys keys;
+dns_zone::Keys parseKeys(const std::string& text, const std::string& file,
+                         std::vector<std::string>& problems) {
+  dns_zone::Keys keys;
   kdl::Document document = kdl::parse(text);
   // What was found may be a part of a secret: the place has to do.
   for (const kdl::Problem& p : document.problems)
     problems.push_back(lineOf(file, p.place, "expected " + p.expected));
   for (kdl::Node& node : document.nodes) KeyNode(file, keys, problems).read(node);
   if (problems.empty() && keys.size() == 0) problems.push_back(file + ":1:1: expected a key at least");
-  return problems.empty() ? keys : zone::Keys{};
+  return problems.empty() ? keys : dns_zone::Keys{};
 }
 
-zone::Keys readKeys(const std::string& path, std::vector<std::string>& problems) {
+dns_zone::Keys readKeys(const std::string& path, std::vector<std::string>& problems) {
   const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
   struct stat about {};
   if (fd < 0 || fstat(fd, &about) != 0) {
@@ -165,4 +166,4 @@
   return parseKeys(text.text, path, problems);
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/keyfile.h
+++ b/src/zone_server/keyfile.h
@@ -7,16 +7,17 @@
 #include <string>
 #include <vector>
 
-#include "zone/tsig.h"
+#include "dns_zone/tsig.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 // `problems`: a line for each thing that is wrong, with file, line and column; no secret is ever a part of
 // one. With any, no key is taken.
-zone::Keys readKeys(const std::string& path, std::vector<std::string>& problems);
+dns_zone::Keys readKeys(const std::string& path, std::vector<std::string>& problems);
 // The same from a text, for tests.
-zone::Keys parseKeys(const std::string& text, const std::string& file, std::vector<std::string>& problems);
+dns_zone::Keys parseKeys(const std::string& text, const std::string& file,
+                         std::vector<std::string>& problems);
 // "2026-12-01" or "2026-12-01T12:00:00Z" in Unix seconds; false for anything else.
 bool readTime(const std::string& text, std::int64_t& seconds);
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/listener.cpp
+++ b/src/zone_server/listener.cpp
@@ -1,4 +1,4 @@
-#include "zones/listener.h"
+#include "zone_server/listener.h"
 
 #include <arpa/inet.h>
 #include <unistd.h>
@@ -6,7 +6,7 @@
 #include <cstring>
 #include <stdexcept>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr std::size_t kDatagram = 65536;
@@ -135,4 +135,4 @@
   cleaner_.in(0);
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/listener.h
+++ b/src/zone_server/listener.h
@@ -10,7 +10,7 @@
 #include "log/log.h"
 #include "net/net.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 class Listener {
  public:
@@ -60,4 +60,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/offer.cpp
+++ b/src/zone_server/offer.cpp
@@ -1,8 +1,8 @@
-#include "zones/offer.h"
+#include "zone_server/offer.h"
 
 #include <algorithm>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 struct Attributes {
@@ -46,14 +46,14 @@
   return note.append(": TXT \"").append(text).append("\" is no attribute that is known here");
 }
 
-Attributes attributesOf(const zone::Zone& zone, const std::string& host, const discovery::Names& names,
+Attributes attributesOf(const dns_zone::Zone& zone, const std::string& host, const discovery::Names& names,
                         std::vector<std::string>& notes) {
   Attributes a;
-  const zone::Zone::Set* set = zone.find(host, zone::Type::TXT);
+  const dns_zone::Zone::Set* set = zone.find(host, dns_zone::Type::TXT);
   if (set == nullptr) return a;
   bool draining = false;
   for (const std::string& data : set->data) {
-    for (const std::string& text : zone::textsOf(data)) {
+    for (const std::string& text : dns_zone::textsOf(data)) {
       if (!read(text, names, a)) notes.push_back(unknownAttribute(host, text));
       // Of two words on its state the careful one holds.
       draining = draining || a.state == ServerState::Draining;
@@ -64,36 +64,36 @@
 }
 
 // The name at the end of the zone's own aliases.
-std::string resolved(const zone::Zone& zone, std::string host) {
+std::string resolved(const dns_zone::Zone& zone, std::string host) {
   for (int hops = 0; hops < 8; ++hops) {
-    const zone::Zone::Set* alias = zone.find(host, zone::Type::CNAME);
+    const dns_zone::Zone::Set* alias = zone.find(host, dns_zone::Type::CNAME);
     if (alias == nullptr) return host;
     std::size_t at = 0;
-    host = zone::readName(*alias->data.begin(), at).value_or("");
+    host = dns_zone::readName(*alias->data.begin(), at).value_or("");
   }
   return "";
 }
 
 // Collects the servers of a zone, target by target.
 struct Offering {
-  const zone::Zone& zone;
-  const places::Places& places;
+  const dns_zone::Zone& zone;
+  const locality::Places& places;
   const discovery::Names& names;
   const Micros until;
   const std::set<std::string>& drained;
   Offer& offer;
 
-  void target(const zone::Srv& srv) {
+  void target(const dns_zone::Srv& srv) {
     const std::string host = resolved(zone, srv.target);
     Attributes attributes = attributesOf(zone, host, names, offer.notes);
     if (drained.count(host) != 0) attributes.state = ServerState::Draining;
     bool any = false;
-    for (const zone::Type type : {zone::Type::A, zone::Type::AAAA}) {
-      const zone::Zone::Set* addresses = zone.find(host, type);
+    for (const dns_zone::Type type : {dns_zone::Type::A, dns_zone::Type::AAAA}) {
+      const dns_zone::Zone::Set* addresses = zone.find(host, type);
       if (addresses == nullptr) continue;
       for (const std::string& bytes : addresses->data) {
         any = true;
-        server(srv, attributes, zone::addressOf(type, bytes));
+        server(srv, attributes, dns_zone::addressOf(type, bytes));
       }
     }
     if (any) return;
@@ -102,7 +102,7 @@
     offer.notes.push_back(srv.target + ": a target without an address in the zone");
   }
 
-  void server(const zone::Srv& srv, const Attributes& attributes, const std::string& address) {
+  void server(const dns_zone::Srv& srv, const Attributes& attributes, const std::string& address) {
     membership::Sighting s;
     s.endpoint = address + ":" + std::to_string(srv.port);
     s.name = srv.target;
@@ -125,40 +125,40 @@
 
 }  // namespace
 
-void addTargets(const zone::Difference& change, Micros at, std::map<std::string, Micros>& targets) {
-  for (const zone::Record& r : change.added) {
-    if (r.type == zone::Type::A || r.type == zone::Type::AAAA) targets[r.name] = at;
-    if (r.type != zone::Type::SRV) continue;
-    if (const auto srv = zone::srvOf(r.data)) targets[srv->target] = at;
+void addTargets(const dns_zone::Difference& change, Micros at, std::map<std::string, Micros>& targets) {
+  for (const dns_zone::Record& r : change.added) {
+    if (r.type == dns_zone::Type::A || r.type == dns_zone::Type::AAAA) targets[r.name] = at;
+    if (r.type != dns_zone::Type::SRV) continue;
+    if (const auto srv = dns_zone::srvOf(r.data)) targets[srv->target] = at;
   }
 }
 
-void addDrained(const zone::Difference& change, std::set<std::string>& hosts) {
-  for (const zone::Record& r : change.added) {
-    if (r.type != zone::Type::TXT) continue;
-    for (const std::string& text : zone::textsOf(r.data)) {
+void addDrained(const dns_zone::Difference& change, std::set<std::string>& hosts) {
+  for (const dns_zone::Record& r : change.added) {
+    if (r.type != dns_zone::Type::TXT) continue;
+    for (const std::string& text : dns_zone::textsOf(r.data)) {
       if (text == "state=draining") hosts.insert(r.name);
     }
   }
 }
 
-Offer offerOf(const zone::Zone& zone, const std::vector<std::string>& services, const places::Places& places,
-              const discovery::Names& names, std::size_t source, Micros asOf, Micros until,
-              const std::set<std::string>& drained) {
+Offer offerOf(const dns_zone::Zone& zone, const std::vector<std::string>& services,
+              const locality::Places& places, const discovery::Names& names, std::size_t source, Micros asOf,
+              Micros until, const std::set<std::string>& drained) {
   Offer offer;
   offer.observation.kind = membership::Observation::Kind::Complete;
   offer.observation.source = source;
   offer.observation.asOf = asOf;
   Offering offering{zone, places, names, until, drained, offer};
   for (const std::string& service : services) {
-    const zone::Zone::Set* set = zone.find(service, zone::Type::SRV);
+    const dns_zone::Zone::Set* set = zone.find(service, dns_zone::Type::SRV);
     if (set == nullptr) continue;
     for (const std::string& data : set->data) {
-      const auto srv = zone::srvOf(data);
+      const auto srv = dns_zone::srvOf(data);
       if (srv && !srv->target.empty()) offering.target(*srv);
     }
   }
   return offer;
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/offer.h
+++ b/src/zone_server/offer.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "discovery/catalog.h"
+#include "dns_zone/zone.h"
+#include "locality/places.h"
 #include "membership/membership.h"
-#include "places/places.h"
-#include "zone/zone.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 // Attributes stand in TXT records at the name of a target, one text each: "state=draining" (or ready),
 // "zone=east", "kind=m1", "pod-group=3", "started=1764600000123" (Unix milliseconds). What is not understood
@@ -23,13 +23,13 @@
   std::vector<std::string> notes;
 };
 
-Offer offerOf(const zone::Zone& zone, const std::vector<std::string>& services, const places::Places& places,
-              const discovery::Names& names, std::size_t source, Micros asOf, Micros until,
-              const std::set<std::string>& drained = {});
+Offer offerOf(const dns_zone::Zone& zone, const std::vector<std::string>& services,
+              const locality::Places& places, const discovery::Names& names, std::size_t source, Micros asOf,
+              Micros until, const std::set<std::string>& drained = {});
 
 // The targets that a change added a record of, with its time.
-void addTargets(const zone::Difference& change, Micros at, std::map<std::string, Micros>& targets);
+void addTargets(const dns_zone::Difference& change, Micros at, std::map<std::string, Micros>& targets);
 // The names that a change gave the state draining.
-void addDrained(const zone::Difference& change, std::set<std::string>& hosts);
+void addDrained(const dns_zone::Difference& change, std::set<std::string>& hosts);
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/script.cpp
+++ b/src/zone_server/script.cpp
@@ -1,9 +1,9 @@
-#include "zones/script.h"
+#include "zone_server/script.h"
 
 #include <algorithm>
 #include <sstream>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 struct Word {
@@ -39,10 +39,10 @@
       : file_(file), origin_(origin), problems_(problems) {}
 
   // Reads one line into the update `m`.
-  void line(std::size_t number, const std::vector<Word>& words, zone::Message& m) {
+  void line(std::size_t number, const std::vector<Word>& words, dns_zone::Message& m) {
     number_ = number;
     const std::string& verb = words[0].text;
-    zone::RawRecord r;
+    dns_zone::RawRecord r;
     if (verb != "need" && verb != "need-not" && verb != "add" && verb != "delete")
       return wrong(words[0], "expected need, need-not, add or delete");
     if (words.size() < 2) return wrong(words[0], "expected a name after " + verb);
@@ -53,13 +53,13 @@
     if (!typeAndData(words, at, r, withData)) return;
     const bool prerequisite = verb == "need" || verb == "need-not";
     if (verb == "need-not")
-      r.cls = zone::kClassNone;
+      r.cls = dns_zone::kClassNone;
     else if (verb == "add")
-      r.cls = zone::kIn;
+      r.cls = dns_zone::kIn;
     else if (prerequisite)
-      r.cls = withData ? zone::kIn : zone::kClassAny;
+      r.cls = withData ? dns_zone::kIn : dns_zone::kClassAny;
     else
-      r.cls = withData ? zone::kClassNone : zone::kClassAny;
+      r.cls = withData ? dns_zone::kClassNone : dns_zone::kClassAny;
     (prerequisite ? m.answer : m.authority).push_back(r);
   }
 
@@ -87,10 +87,10 @@
     return true;
   }
   // Both may be left out; `withData` says whether there is data.
-  bool typeAndData(const std::vector<Word>& words, std::size_t at, zone::RawRecord& r, bool& withData) {
-    r.type = zone::kTypeAny;
+  bool typeAndData(const std::vector<Word>& words, std::size_t at, dns_zone::RawRecord& r, bool& withData) {
+    r.type = dns_zone::kTypeAny;
     if (at >= words.size()) return true;
-    const auto type = zone::typeNamed(words[at].text);
+    const auto type = dns_zone::typeNamed(words[at].text);
     if (!type) {
       wrong(words[at], "expected a type: A, AAAA, CNAME, NS, SOA, SRV or TXT");
       return false;
@@ -105,28 +105,28 @@
     return data(words, at, *type, r.data);
   }
   bool name(const Word& word, std::string& out) {
-    const auto wire = zone::encodeField(zone::Type::NS, 0, whole(word.text));
+    const auto wire = dns_zone::encodeField(dns_zone::Type::NS, 0, whole(word.text));
     if (!wire) {
       wrong(word, "expected a domain name");
       return false;
     }
     std::size_t at = 0;
-    out = *zone::readName(*wire, at);
+    out = *dns_zone::readName(*wire, at);
     return true;
   }
-  bool data(const std::vector<Word>& words, std::size_t at, zone::Type type, std::string& out) {
-    const auto& fields = zone::fieldsOf(type);
-    const bool texts = type == zone::Type::TXT;
+  bool data(const std::vector<Word>& words, std::size_t at, dns_zone::Type type, std::string& out) {
+    const auto& fields = dns_zone::fieldsOf(type);
+    const bool texts = type == dns_zone::Type::TXT;
     const std::size_t due = texts ? words.size() - at : fields.size();
     for (std::size_t f = 0; f < due; ++f) {
-      const zone::Field& field = fields[texts ? 0 : f];
+      const dns_zone::Field& field = fields[texts ? 0 : f];
       if (at >= words.size()) {
         wrong(words.back(), std::string("expected ") + field.name + " behind it, " + field.expected);
         return false;
       }
       const bool isName = std::string(field.expected) == "a domain name";
       const auto bytes =
-          zone::encodeField(type, texts ? 0 : f, isName ? whole(words[at].text) : words[at].text);
+          dns_zone::encodeField(type, texts ? 0 : f, isName ? whole(words[at].text) : words[at].text);
       if (!bytes) {
         wrong(words[at], std::string("expected ") + field.expected + " as " + field.name);
         return false;
@@ -147,13 +147,13 @@
 
 }  // namespace
 
-zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
-                         std::vector<std::string>& problems) {
-  zone::Message m;
-  m.opcode = zone::Opcode::Update;
+dns_zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
+                             std::vector<std::string>& problems) {
+  dns_zone::Message m;
+  m.opcode = dns_zone::Opcode::Update;
   m.hasQuestion = true;
   m.name = origin;
-  m.type = static_cast<std::uint16_t>(zone::Type::SOA);
+  m.type = static_cast<std::uint16_t>(dns_zone::Type::SOA);
   Script script(file, origin, problems);
   std::istringstream in(text);
   std::size_t number = 0;
@@ -167,4 +167,4 @@
   return m;
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/script.h
+++ b/src/zone_server/script.h
@@ -10,12 +10,12 @@
 #include <string>
 #include <vector>
 
-#include "zone/message.h"
+#include "dns_zone/message.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 // The update without an id. `problems`: a line for each mistake, with file, line and column.
-zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
-                         std::vector<std::string>& problems);
+dns_zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
+                             std::vector<std::string>& problems);
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/worker.cpp
+++ b/src/zone_server/worker.cpp
@@ -1,4 +1,4 @@
-#include "zones/worker.h"
+#include "zone_server/worker.h"
 
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -7,7 +7,7 @@
 #include <new>
 #include <utility>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 Worker::Worker(event_base* base) : wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
   if (wake_ < 0) throw std::bad_alloc();
@@ -74,4 +74,4 @@
   }
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/worker.h
+++ b/src/zone_server/worker.h
@@ -11,7 +11,7 @@
 
 #include "net/net.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 class Worker {
  public:
@@ -39,4 +39,4 @@
   std::thread thread_;
 };
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource.cpp
+++ b/src/zone_server/zonesource.cpp
@@ -1,6 +1,6 @@
-#include "zones/zonesource.h"
+#include "zone_server/zonesource.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 ZoneSource::ZoneSource(const Context& around, const op::Zone& zone, std::size_t number, Worker& worker,
                        Observe observe)
@@ -20,14 +20,14 @@
 
 ZoneSource::~ZoneSource() = default;
 
-zone::AcceptorSettings ZoneSource::settings() const {
-  zone::AcceptorSettings s;
+dns_zone::AcceptorSettings ZoneSource::settings() const {
+  dns_zone::AcceptorSettings s;
   s.remembered = op_.remembered;
   s.pending = op_.pending;
   for (const op::Grant& g : op_.grants) {
-    zone::Grant grant{g.key, g.name, {}};
+    dns_zone::Grant grant{g.key, g.name, {}};
     for (const std::string& type : g.types) {
-      if (const auto t = zone::typeNamed(type)) grant.types.insert(*t);
+      if (const auto t = dns_zone::typeNamed(type)) grant.types.insert(*t);
     }
     s.grants.push_back(std::move(grant));
   }
@@ -55,7 +55,7 @@
   if (!op_.state.empty() && !broken_ && acceptor_) compact();
   if (!op_.file.empty() && (!op_.listen || !acceptor_)) look(true);
   if (op_.file.empty() && op_.primaries.empty() && !acceptor_ && op_.listen && !broken_)
-    take(emptyZone(), zone::Judgement::First);
+    take(emptyZone(), dns_zone::Judgement::First);
   if (stored.image) freshAt_ = freshStored_ = stored.image->freshAt;
   if (op_.listen) listen();
   if (!op_.primaries.empty()) follow();
@@ -63,16 +63,16 @@
 
 // The zone as the store has it: its image, and the changes behind that carried out.
 void ZoneSource::restore(StoredZone& stored) {
-  zone::Zone zone = std::move(stored.image->zone);
-  std::vector<zone::Remembered> requests = std::move(stored.image->requests);
+  dns_zone::Zone zone = std::move(stored.image->zone);
+  std::vector<dns_zone::Remembered> requests = std::move(stored.image->requests);
   const auto offered = [&] {
     return offerOf(zone, op_.services, places_, *around_.names, number_, 0, kForEver);
   };
-  std::vector<zone::Age> ages = std::move(stored.image->ages);
+  std::vector<dns_zone::Age> ages = std::move(stored.image->ages);
   std::set<std::string> there = offered().endpoints;
   std::map<std::string, Micros> changed;  // targets, and when a change behind the snapshot last named them
-  for (zone::Step& step : stored.steps) {
-    zone::redo(zone, step.change);
+  for (dns_zone::Step& step : stored.steps) {
+    dns_zone::redo(zone, step.change);
     addDrained(step.change, drained_);
     addTargets(step.change, step.request.at * 1000000, changed);
     requests.push_back(std::move(step.request));
@@ -86,31 +86,31 @@
   around_.log->info("zones") << op_.label << ": serial " << zone.serial() << ", " << zone.records()
                              << " records from the store, " << stored.steps.size()
                              << " changes behind its snapshot";
-  acceptor_ = std::make_unique<zone::Acceptor>(std::move(zone), std::move(requests), settings());
+  acceptor_ = std::make_unique<dns_zone::Acceptor>(std::move(zone), std::move(requests), settings());
   publishSoon_.in(0);
 }
 
 // A zone with an SOA alone, which updates fill.
-zone::Zone ZoneSource::emptyZone() const {
-  zone::Zone empty(op_.origin);
+dns_zone::Zone ZoneSource::emptyZone() const {
+  dns_zone::Zone empty(op_.origin);
   const std::string words[] = {op_.origin, "hostmaster." + op_.origin, "1", "3600", "600", "86400", "60"};
-  zone::Record soa{op_.origin, zone::Type::SOA, 60, ""};
-  for (std::size_t k = 0; k < 7; ++k) soa.data += *zone::encodeField(zone::Type::SOA, k, words[k]);
+  dns_zone::Record soa{op_.origin, dns_zone::Type::SOA, 60, ""};
+  for (std::size_t k = 0; k < 7; ++k) soa.data += *dns_zone::encodeField(dns_zone::Type::SOA, k, words[k]);
   empty.add(soa);
   return empty;
 }
 
-void ZoneSource::take(zone::Zone zone, zone::Judgement judgement) {
+void ZoneSource::take(dns_zone::Zone zone, dns_zone::Judgement judgement) {
   if (busy_) {
     next_ = std::move(zone);
     nextJudgement_ = judgement;
     return;
   }
   around_.log->info("zones") << op_.label << ": serial " << zone.serial() << ", " << zone.records()
-                             << " records taken code=" << zone::codeOf(judgement);
+                             << " records taken code=" << dns_zone::codeOf(judgement);
   if (!acceptor_)
-    acceptor_ =
-        std::make_unique<zone::Acceptor>(std::move(zone), std::vector<zone::Remembered>{}, settings());
+    acceptor_ = std::make_unique<dns_zone::Acceptor>(std::move(zone), std::vector<dns_zone::Remembered>{},
+                                                     settings());
   else
     acceptor_->replace(std::move(zone));
   publishSoon_.in(0);
@@ -123,4 +123,4 @@
   if (!op_.file.empty() && !op_.listen) look(true);
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource.h
+++ b/src/zone_server/zonesource.h
@@ -1,5 +1,5 @@
 // One zone that this installation keeps: its file watched, its updates taken in, its store written, and what
-// it offers told to the membership. It holds together what decides: zone::Keeper, zone::Acceptor and
+// it offers told to the membership. It holds together what decides: dns_zone::Keeper, dns_zone::Acceptor and
 // files::Store.
 #pragma once
 
@@ -7,16 +7,16 @@
 #include <map>
 #include <optional>
 
-#include "zone/acceptor.h"
-#include "zone/keeper.h"
-#include "zones/context.h"
-#include "zones/disk.h"
-#include "zones/follower.h"
-#include "zones/listener.h"
-#include "zones/offer.h"
-#include "zones/worker.h"
+#include "dns_zone/acceptor.h"
+#include "dns_zone/keeper.h"
+#include "zone_server/context.h"
+#include "zone_server/disk.h"
+#include "zone_server/follower.h"
+#include "zone_server/listener.h"
+#include "zone_server/offer.h"
+#include "zone_server/worker.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 class ZoneSource {
  public:
@@ -31,7 +31,7 @@
 
   void reload();                          // SIGHUP: file and keys are read anew
   bool ready() const { return loaded_; }  // what the disk had is known
-  const zone::Zone* zone() const { return acceptor_ ? &acceptor_->durable() : nullptr; }
+  const dns_zone::Zone* zone() const { return acceptor_ ? &acceptor_->durable() : nullptr; }
   std::optional<net::Address> address() const {
     return listener_ ? std::optional<net::Address>(listener_->address()) : std::nullopt;
   }
@@ -52,21 +52,21 @@
   void load();
   void loaded(StoredZone& stored);
   void restore(StoredZone& stored);
-  zone::Zone emptyZone() const;
-  void take(zone::Zone zone, zone::Judgement judgement);
+  dns_zone::Zone emptyZone() const;
+  void take(dns_zone::Zone zone, dns_zone::Judgement judgement);
   // ---- zonesource_file.cpp: the zone file ----
   void look(bool always);
   void looked(const FileReading& found);
-  void tellMistakes(const std::vector<zone::Mistake>& mistakes);
+  void tellMistakes(const std::vector<dns_zone::Mistake>& mistakes);
   // ---- zonesource_primary.cpp: transfers and notices ----
   void follow();
-  bool came(const zone::Zone& zone);
+  bool came(const dns_zone::Zone& zone);
   void fresh();
   void onNotify(const std::string& message, const std::string& peer, const Listener::Reply& reply);
   // ---- zonesource_updates.cpp: dynamic updates ----
   void listen();
   void onMessage(const std::string& message, const std::string& peer, Listener::Reply reply);
-  void refused(const zone::Acceptor::Taken& taken, const std::string& peer);
+  void refused(const dns_zone::Acceptor::Taken& taken, const std::string& peer);
   // ---- zonesource_store.cpp: batches and snapshots ----
   void writeNext();
   void written(const files::Outcome& outcome);
@@ -77,32 +77,32 @@
   void publish();
   void tellNotes(const std::vector<std::string>& all);
   std::int64_t unixNow() const { return around_.clock() / 1000000; }
-  zone::AcceptorSettings settings() const;
+  dns_zone::AcceptorSettings settings() const;
 
   const Context around_;
   const op::Zone& op_;
   const std::size_t number_;
   Worker& worker_;
   Observe observe_;
-  const places::Places places_;
+  const locality::Places places_;
   std::shared_ptr<DiskStore> disk_;  // of the worker's thread; only passed on here
-  zone::Keeper keeper_;
-  std::unique_ptr<zone::Acceptor> acceptor_;
-  zone::Ages ages_;
+  dns_zone::Keeper keeper_;
+  std::unique_ptr<dns_zone::Acceptor> acceptor_;
+  dns_zone::Ages ages_;
   std::set<std::string>
       drained_;  // names drained since the last word to the membership: none of a burst is lost
   bool published_ = false;
-  zone::Keys keys_;
+  dns_zone::Keys keys_;
   std::unique_ptr<Listener> listener_;
   std::unique_ptr<Follower> follower_;
   Micros freshAt_ = 0, freshStored_ = 0;  // of the primary's word, and as the store has it
-  std::map<zone::Acceptor::Ticket, Listener::Reply> waiting_;
+  std::map<dns_zone::Acceptor::Ticket, Listener::Reply> waiting_;
   net::Timer watch_, publishSoon_, retry_, listenAgain_;
   std::string signature_;  // of the files as they were read last
   bool loaded_ = false, busy_ = false, looking_ = false, broken_ = false;
   std::size_t journalBytes_ = 0, snapshotBytes_ = 0;
-  std::optional<zone::Zone> next_;  // a whole new zone waits until what is being written is settled
-  zone::Judgement nextJudgement_ = zone::Judgement::Newer;
+  std::optional<dns_zone::Zone> next_;  // a whole new zone waits until what is being written is settled
+  dns_zone::Judgement nextJudgement_ = dns_zone::Judgement::Newer;
   std::string notes_;  // as told last
   Micros refusedToldAt_ = 0;
   std::uint64_t refusedUntold_ = 0;
@@ -110,4 +110,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource_file.cpp
+++ b/src/zone_server/zonesource_file.cpp
@@ -1,9 +1,9 @@
 // ZoneSource and its zone file: watched, read on the worker, taken in by its serial.
 #include <cstdio>
 
-#include "zones/zonesource.h"
+#include "zone_server/zonesource.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 void ZoneSource::look(bool always) {
   watch_.cancel();
@@ -24,28 +24,29 @@
   if (!found.reading) return;
   const bool news = found.signature != signature_;
   signature_ = found.signature;
-  const zone::Reading& reading = *found.reading;
+  const dns_zone::Reading& reading = *found.reading;
   if (!reading.mistakes.empty()) {
     // Told once for each state of the file; the zone that was read before stays in force.
     if (news) tellMistakes(reading.mistakes);
     return;
   }
-  const zone::Zone* now = zone();
-  const zone::Judgement judgement = keeper_.judge(now, reading.zone, found.accepted);
+  const dns_zone::Zone* now = zone();
+  const dns_zone::Judgement judgement = keeper_.judge(now, reading.zone, found.accepted);
   if (const auto text = keeper_.tell(judgement, now, reading.zone)) around_.log->error("zones") << *text;
-  if (found.accepted && (judgement == zone::Judgement::Accepted || judgement == zone::Judgement::Same)) {
+  if (found.accepted &&
+      (judgement == dns_zone::Judgement::Accepted || judgement == dns_zone::Judgement::Same)) {
     const std::string marker = acceptMarkerPath(op_.state, op_.label);
     worker_.run([marker]() -> Worker::Done {
       std::remove(marker.c_str());
       return nullptr;
     });
   }
-  if (zone::takes(judgement)) take(reading.zone, judgement);
+  if (dns_zone::takes(judgement)) take(reading.zone, judgement);
 }
 
-void ZoneSource::tellMistakes(const std::vector<zone::Mistake>& mistakes) {
+void ZoneSource::tellMistakes(const std::vector<dns_zone::Mistake>& mistakes) {
   std::size_t told = 0;
-  for (const zone::Mistake& m : mistakes) {
+  for (const dns_zone::Mistake& m : mistakes) {
     if (++told > kLinesMost) break;
     around_.log->error("zones") << op_.label << ": " << m.text() << " code=zone-file";
   }
@@ -54,4 +55,4 @@
                               << " code=zone-file";
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource_primary.cpp
+++ b/src/zone_server/zonesource_primary.cpp
@@ -1,29 +1,29 @@
 // ZoneSource as a secondary: transfers taken in, NOTIFY messages answered (RFC 1996).
 #include <cstdio>
 
-#include "zones/zonesource.h"
+#include "zone_server/zonesource.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 void ZoneSource::follow() {
   Follower::Handlers handlers;
   handlers.held = [this] { return zone(); };
-  handlers.came = [this](const zone::Zone& zone) { return came(zone); };
+  handlers.came = [this](const dns_zone::Zone& zone) { return came(zone); };
   handlers.fresh = [this] { fresh(); };
   follower_ = std::make_unique<Follower>(around_.base, op_.label, op_.origin, op_.primaries, around_.clock,
                                          *around_.log, Follower::Limits{}, std::move(handlers));
   follower_->begin(freshAt_);
 }
 
-bool ZoneSource::came(const zone::Zone& zone) {
-  if (zone.find(op_.origin, zone::Type::SOA) == nullptr) return false;
-  const zone::Zone* now = this->zone();
+bool ZoneSource::came(const dns_zone::Zone& zone) {
+  if (zone.find(op_.origin, dns_zone::Type::SOA) == nullptr) return false;
+  const dns_zone::Zone* now = this->zone();
   // Read when a transfer is at hand, which is seldom.
   const std::optional<std::uint32_t> accepted = acceptedSerial(op_);
-  const zone::Judgement judgement = keeper_.judge(now, zone, accepted);
+  const dns_zone::Judgement judgement = keeper_.judge(now, zone, accepted);
   if (const auto text = keeper_.tell(judgement, now, zone)) around_.log->error("zones") << *text;
-  if (judgement == zone::Judgement::Same) return true;
-  if (!zone::takes(judgement)) return false;
+  if (judgement == dns_zone::Judgement::Same) return true;
+  if (!dns_zone::takes(judgement)) return false;
   if (accepted) std::remove(acceptMarkerPath(op_.state, op_.label).c_str());
   freshAt_ = freshStored_ = around_.clock();
   take(zone, judgement);
@@ -45,22 +45,22 @@
 // From a primary, answered at once (RFC 1996, section 3.7); what it says of the serial is looked up, not
 // believed.
 void ZoneSource::onNotify(const std::string& message, const std::string& peer, const Listener::Reply& reply) {
-  const auto m = zone::decodeMessage(message);
+  const auto m = dns_zone::decodeMessage(message);
   if (!m || m->response) return;
-  zone::Message answer;
+  dns_zone::Message answer;
   answer.id = m->id;
   answer.response = answer.authoritative = true;
-  answer.opcode = zone::Opcode::Notify;
+  answer.opcode = dns_zone::Opcode::Notify;
   answer.hasQuestion = m->hasQuestion;
   answer.name = m->name;
   answer.type = m->type;
   const bool ours = follower_ && m->hasQuestion && m->name == op_.origin &&
                     follower_->notified(peer.substr(0, peer.rfind(':')));
   if (!ours) {
-    answer.rcode = zone::Rcode::Refused;
+    answer.rcode = dns_zone::Rcode::Refused;
     around_.log->debug("zones") << op_.label << ": notice of " << peer << " refused";
   }
-  reply(zone::encodeMessage(answer));
+  reply(dns_zone::encodeMessage(answer));
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource_publish.cpp
+++ b/src/zone_server/zonesource_publish.cpp
@@ -1,7 +1,7 @@
 // ZoneSource and the membership: the servers that the zone offers now, each with the time since when it does.
-#include "zones/zonesource.h"
+#include "zone_server/zonesource.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 
 void ZoneSource::publish() {
   if (!acceptor_) return;
@@ -13,7 +13,7 @@
   const auto aged = [&](membership::Observation o) {
     for (membership::Sighting& s : o.seen) {
       const bool warm = !published_ && around_.firstAnswerWarm;
-      const Micros since = ages_.of(s.endpoint, warm ? zone::Ages::kLongAgo : now);
+      const Micros since = ages_.of(s.endpoint, warm ? dns_zone::Ages::kLongAgo : now);
       if (s.startedAt == 0) s.startedAt = since;
     }
     return o;
@@ -41,4 +41,4 @@
   notes_ = notes;
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource_store.cpp
+++ b/src/zone_server/zonesource_store.cpp
@@ -1,9 +1,9 @@
 // ZoneSource and its store: batches of accepted updates appended, the journal compacted into a snapshot.
 #include <algorithm>
 
-#include "zones/zonesource.h"
+#include "zone_server/zonesource.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr Micros kRetry = 1000000;                           // a store that failed is tried again
@@ -38,7 +38,7 @@
     waiting_.erase(at);
   }
   if (outcome.ok) {
-    for (const zone::Difference& change : acceptor_->lastChanges()) addDrained(change, drained_);
+    for (const dns_zone::Difference& change : acceptor_->lastChanges()) addDrained(change, drained_);
     if (!publishSoon_.set()) publishSoon_.in(kGather);
   } else {
     ++counts_.failedBatches;
@@ -79,9 +79,9 @@
 
 // What waited while the store was written.
 void ZoneSource::takeNext() {
-  zone::Zone zone = std::move(*next_);
+  dns_zone::Zone zone = std::move(*next_);
   next_.reset();
   take(std::move(zone), nextJudgement_);
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/src/zones/zonesource_updates.cpp
+++ b/src/zone_server/zonesource_updates.cpp
@@ -1,8 +1,8 @@
 // ZoneSource and dynamic updates (RFC 2136): keys, the address that takes messages, and what becomes of each.
-#include "zones/keyfile.h"
-#include "zones/zonesource.h"
+#include "zone_server/keyfile.h"
+#include "zone_server/zonesource.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr Micros kListenRetry = 1000000;   // an address that is in use is tried again
@@ -12,14 +12,14 @@
 bool isNotify(const std::string& message) {
   if (message.size() < kHeaderSize) return false;
   const unsigned opcode = static_cast<unsigned char>(message[2]) >> 3 & 15;
-  return opcode == static_cast<unsigned>(zone::Opcode::Notify);
+  return opcode == static_cast<unsigned>(dns_zone::Opcode::Notify);
 }
 
 }  // namespace
 
 void ZoneSource::listen() {
   std::vector<std::string> problems;
-  zone::Keys keys;
+  dns_zone::Keys keys;
   if (!op_.keys.empty()) keys = readKeys(op_.keys, problems);
   for (const std::string& p : problems) around_.log->error("zones") << op_.label << ": " << p << " code=keys";
   if (problems.empty()) keys_ = std::move(keys);  // else the old ones hold
@@ -44,7 +44,7 @@
 void ZoneSource::onMessage(const std::string& message, const std::string& peer, Listener::Reply reply) {
   if (isNotify(message)) return onNotify(message, peer, reply);
   if (!acceptor_) return;
-  const zone::Acceptor::Taken taken = acceptor_->take(message, keys_, unixNow());
+  const dns_zone::Acceptor::Taken taken = acceptor_->take(message, keys_, unixNow());
   if (taken.code == "accepted")
     ++counts_.accepted;
   else if (taken.code == "repeated")
@@ -59,7 +59,7 @@
 }
 
 // A flood of refusals is one line a second.
-void ZoneSource::refused(const zone::Acceptor::Taken& taken, const std::string& peer) {
+void ZoneSource::refused(const dns_zone::Acceptor::Taken& taken, const std::string& peer) {
   ++counts_.refused;
   const Micros now = around_.clock();
   if (refusedToldAt_ != 0 && now < refusedToldAt_ + kRefusedEvery) {
@@ -69,10 +69,10 @@
   refusedToldAt_ = now;
   log::Line line = around_.log->warn("zones");
   line << op_.label << ": update of " << peer << " refused code=" << taken.code << " "
-       << zone::nameOf(taken.rcode);
+       << dns_zone::nameOf(taken.rcode);
   if (!taken.why.empty()) line << " (" << taken.why << ")";
   if (refusedUntold_ > 0) line << ", and " << refusedUntold_ << " more since the last line";
   refusedUntold_ = 0;
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/standins/primary.cpp
+++ b/standins/primary.cpp
@@ -9,9 +9,9 @@
 namespace peargrade::standins {
 namespace {
 
-zone::RawRecord soaOf(const zone::Zone& zone) {
-  const zone::Zone::Set* set = zone.find(zone.origin(), zone::Type::SOA);
-  return zone::rawOf({zone.origin(), zone::Type::SOA, set->ttl, *set->data.begin()});
+dns_zone::RawRecord soaOf(const dns_zone::Zone& zone) {
+  const dns_zone::Zone::Set* set = zone.find(zone.origin(), dns_zone::Type::SOA);
+  return dns_zone::rawOf({zone.origin(), dns_zone::Type::SOA, set->ttl, *set->data.begin()});
 }
 
 std::string framed(const std::string& bytes) {
@@ -66,55 +66,55 @@
   udp_ = -1;
 }
 
-void Primary::publish(const zone::Zone& zone) { versions_.push_back(zone); }
+void Primary::publish(const dns_zone::Zone& zone) { versions_.push_back(zone); }
 
 void Primary::notify(const net::Address& whom) {
-  zone::Message m;
+  dns_zone::Message m;
   m.id = 4711;
-  m.opcode = zone::Opcode::Notify;
+  m.opcode = dns_zone::Opcode::Notify;
   m.authoritative = true;
   m.hasQuestion = true;
   m.name = zone().origin();
-  m.type = static_cast<std::uint16_t>(zone::Type::SOA);
+  m.type = static_cast<std::uint16_t>(dns_zone::Type::SOA);
   m.answer.push_back(soaOf(zone()));
   net::Datagram::Handlers handlers;
   handlers.data = [this](const std::string& bytes) {
-    const auto answer = zone::decodeMessage(bytes);
-    notifyAnswers += answer && answer->response && answer->rcode == zone::Rcode::NoError;
+    const auto answer = dns_zone::decodeMessage(bytes);
+    notifyAnswers += answer && answer->response && answer->rcode == dns_zone::Rcode::NoError;
   };
   std::uint32_t port =
       static_cast<std::uint32_t>(notices_.size()) * 7919 + static_cast<std::uint32_t>(getpid());
   notices_.push_back(std::make_unique<net::Datagram>(
       base_, whom, [port]() mutable { return port += 13; }, std::move(handlers)));
-  notices_.back()->send(zone::encodeMessage(m));
+  notices_.back()->send(dns_zone::encodeMessage(m));
 }
 
-std::vector<zone::RawRecord> Primary::whole() const {
-  std::vector<zone::RawRecord> records;
-  for (const zone::Record& r : zone().all()) records.push_back(zone::rawOf(r));
+std::vector<dns_zone::RawRecord> Primary::whole() const {
+  std::vector<dns_zone::RawRecord> records;
+  for (const dns_zone::Record& r : zone().all()) records.push_back(dns_zone::rawOf(r));
   records.push_back(soaOf(zone()));
   return records;
 }
 
 // From the version with that serial on, step by step; empty: it is not known.
-std::vector<zone::RawRecord> Primary::changes(std::uint32_t from) const {
-  std::vector<zone::RawRecord> records{soaOf(zone())};
+std::vector<dns_zone::RawRecord> Primary::changes(std::uint32_t from) const {
+  std::vector<dns_zone::RawRecord> records{soaOf(zone())};
   if (from == zone().serial()) return records;
   std::size_t at = 0;
   while (at < versions_.size() && versions_[at].serial() != from) ++at;
   if (at == versions_.size()) return {};
   for (; at + 1 < versions_.size(); ++at) {
-    const zone::Difference d = zone::difference(versions_[at], versions_[at + 1]);
+    const dns_zone::Difference d = dns_zone::difference(versions_[at], versions_[at + 1]);
     records.push_back(soaOf(versions_[at]));
-    for (const zone::Record& r : d.removed) {
-      if (r.type != zone::Type::SOA) records.push_back(zone::rawOf(r));
+    for (const dns_zone::Record& r : d.removed) {
+      if (r.type != dns_zone::Type::SOA) records.push_back(dns_zone::rawOf(r));
     }
     if (wrongChanges)
       records.push_back(
-          zone::rawOf({"nobody." + zone().origin(), zone::Type::A, 1, std::string("\1\2\3\4", 4)}));
+          dns_zone::rawOf({"nobody." + zone().origin(), dns_zone::Type::A, 1, std::string("\1\2\3\4", 4)}));
     records.push_back(soaOf(versions_[at + 1]));
-    for (const zone::Record& r : d.added) {
-      if (r.type != zone::Type::SOA) records.push_back(zone::rawOf(r));
+    for (const dns_zone::Record& r : d.added) {
+      if (r.type != dns_zone::Type::SOA) records.push_back(dns_zone::rawOf(r));
     }
   }
   records.push_back(soaOf(zone()));
@@ -128,15 +128,15 @@
     socklen_t size = sizeof from;
     const ssize_t got = recvfrom(udp_, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from), &size);
     if (got < 0) return;
-    auto m = zone::decodeMessage({bytes, static_cast<std::size_t>(got)});
+    auto m = dns_zone::decodeMessage({bytes, static_cast<std::size_t>(got)});
     if (!m || silent) continue;
     ++soas;
     m->response = m->authoritative = true;
     if (refuse)
-      m->rcode = zone::Rcode::Refused;
+      m->rcode = dns_zone::Rcode::Refused;
     else
       m->answer = {soaOf(zone())};
-    const std::string out = zone::encodeMessage(*m);
+    const std::string out = dns_zone::encodeMessage(*m);
     sendto(udp_, out.data(), out.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), size);
   }
 }
@@ -149,30 +149,31 @@
   const std::size_t due = static_cast<std::size_t>(static_cast<unsigned char>(peer->input[0])) << 8 |
                           static_cast<unsigned char>(peer->input[1]);
   if (peer->input.size() < 2 + due) return;
-  auto m = zone::decodeMessage(peer->input.substr(2, due));
+  auto m = dns_zone::decodeMessage(peer->input.substr(2, due));
   peer->input.erase(0, 2 + due);
   if (!m) return;
-  const bool ixfr = m->type == zone::kTypeIxfr;
+  const bool ixfr = m->type == dns_zone::kTypeIxfr;
   ++(ixfr ? ixfrs : axfrs);
   m->response = m->authoritative = true;
   std::uint32_t from = 0;
-  if (ixfr && !m->authority.empty()) from = zone::soaOf(m->authority[0].data)->serial;
+  if (ixfr && !m->authority.empty()) from = dns_zone::soaOf(m->authority[0].data)->serial;
   m->authority.clear();
-  std::vector<zone::RawRecord> records;
+  std::vector<dns_zone::RawRecord> records;
   if (refuse)
-    m->rcode = zone::Rcode::Refused;
+    m->rcode = dns_zone::Rcode::Refused;
   else if (ixfr && noChanges)
-    m->rcode = zone::Rcode::NotImp;
+    m->rcode = dns_zone::Rcode::NotImp;
   else
     records = ixfr ? changes(from) : whole();
-  if (ixfr && records.empty() && m->rcode == zone::Rcode::NoError) records = whole();  // as RFC 1995 allows
+  if (ixfr && records.empty() && m->rcode == dns_zone::Rcode::NoError)
+    records = whole();  // as RFC 1995 allows
   std::size_t at = 0;
   int sent = 0;
   do {
     m->answer.assign(records.begin() + static_cast<long>(at),
                      records.begin() + static_cast<long>(std::min(records.size(), at + perMessage)));
     at += m->answer.size();
-    const std::string bytes = framed(zone::encodeMessage(*m));
+    const std::string bytes = framed(dns_zone::encodeMessage(*m));
     if (dieAfter >= 0 && sent == dieAfter) {
       if (hang) return;
       peer->stream->send(bytes.substr(0, bytes.size() / 2));
--- a/standins/primary.h
+++ b/standins/primary.h
@@ -1,6 +1,6 @@
 // Stand-in for a primary name server: SOA over UDP, AXFR and IXFR over TCP (RFC 1995, 5936), NOTIFY (RFC
-// 1996). It keeps the versions that a test gives it and fails as told. Records are written by src/zone; the
-// order of a transfer is its own.
+// 1996). It keeps the versions that a test gives it and fails as told. Records are written by src/dns_zone;
+// the order of a transfer is its own.
 #pragma once
 
 #include <list>
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "dns_zone/message.h"
+#include "dns_zone/zone.h"
 #include "net/datagram.h"
 #include "net/net.h"
-#include "zone/message.h"
-#include "zone/zone.h"
 
 namespace peargrade::standins {
 
@@ -21,9 +21,9 @@
   ~Primary();
   net::Address address() const { return address_; }
 
-  void publish(const zone::Zone& zone);   // the next version
-  void notify(const net::Address& whom);  // tells of it
-  const zone::Zone& zone() const { return versions_.back(); }
+  void publish(const dns_zone::Zone& zone);  // the next version
+  void notify(const net::Address& whom);     // tells of it
+  const dns_zone::Zone& zone() const { return versions_.back(); }
 
   // ---- Misbehaviour ----
   bool silent = false;        // nothing is answered over UDP
@@ -48,8 +48,8 @@
   void open();
   void onDatagram();
   void onStream(std::list<Peer>::iterator peer, evbuffer* input);
-  std::vector<zone::RawRecord> whole() const;
-  std::vector<zone::RawRecord> changes(std::uint32_t from) const;
+  std::vector<dns_zone::RawRecord> whole() const;
+  std::vector<dns_zone::RawRecord> changes(std::uint32_t from) const;
 
   event_base* base_;
   net::Address address_;
@@ -57,7 +57,7 @@
   net::EventHandle readable_;
   net::ListenerHandle listener_;
   std::list<Peer> peers_;
-  std::vector<zone::Zone> versions_;
+  std::vector<dns_zone::Zone> versions_;
   std::vector<std::unique_ptr<net::Datagram>> notices_;
 };
 
--- a/tests/zone/master_test.cpp
+++ b/tests/dns_zone/master_test.cpp
@@ -1,11 +1,11 @@
 // Zone files: what they may hold, every mistake with its place, and that what is written reads back the same.
-#include "zone/master.h"
+#include "dns_zone/master.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 using Files = std::map<std::string, std::string>;
@@ -184,4 +184,4 @@
 }
 
 }  // namespace
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/tests/zone/transfer_test.cpp
+++ b/tests/dns_zone/transfer_test.cpp
@@ -1,14 +1,14 @@
 // Transfers and the one who asks for them, without a socket: whole, in changes, cut anywhere, and every wait
 // with an end.
-#include "zone/transfer.h"
+#include "dns_zone/transfer.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
-#include "zone/secondary.h"
+#include "dns_zone/secondary.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 constexpr Micros kSecond = 1000000;
@@ -224,4 +224,4 @@
 }
 
 }  // namespace
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/tests/zone/update_test.cpp
+++ b/tests/dns_zone/update_test.cpp
@@ -1,16 +1,16 @@
 // Dynamic updates and their signatures, and the one who takes them in: each rule of the RFCs with a case of
 // its own, and ldns as a second opinion on signatures.
-#include "zone/update.h"
+#include "dns_zone/update.h"
 
 #include <gtest/gtest.h>
 #include <ldns/ldns.h>
 
 #include <random>
 
-#include "zone/acceptor.h"
-#include "zone/tsig.h"
+#include "dns_zone/acceptor.h"
+#include "dns_zone/tsig.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 constexpr std::int64_t kNow = 1764600000;
@@ -512,4 +512,4 @@
 }
 
 }  // namespace
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/tests/zone/zone_test.cpp
+++ b/tests/dns_zone/zone_test.cpp
@@ -1,11 +1,11 @@
 // Serials, sets, differences, and data from outside.
-#include "zone/zone.h"
+#include "dns_zone/zone.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
 Record soa(std::uint32_t serial) {
@@ -108,4 +108,4 @@
 }
 
 }  // namespace
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/tests/zones/follow_test.cpp
+++ b/tests/zone_server/follow_test.cpp
@@ -6,19 +6,20 @@
 #include <filesystem>
 #include <random>
 
+#include "dns_zone/master.h"
 #include "sources/sources.h"
 #include "standins/primary.h"
 #include "support/loop.h"
-#include "zone/master.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr Micros kSecond = 1000000;
 
 std::string at(int k) { return "10.1.0." + std::to_string(k) + ":3000"; }
 
-zone::Zone zoneOf(std::uint32_t serial, int from, int to, const std::string& more = "", int refresh = 3600) {
+dns_zone::Zone zoneOf(std::uint32_t serial, int from, int to, const std::string& more = "",
+                      int refresh = 3600) {
   std::string text = "$TTL 60\n@ SOA ns hostmaster " + std::to_string(serial) + " " +
                      std::to_string(refresh) + " 1 86400 30\n" + more;
   for (int k = from; k < to; ++k) {
@@ -26,7 +27,7 @@
     text += "_o._tcp SRV 0 10 3000 " + host + "\n" + host + " A 10.1.0." + std::to_string(k) + "\n";
   }
   const auto r =
-      zone::readMaster("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
+      dns_zone::readMaster("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
         out = text;
         return true;
       });
@@ -149,7 +150,7 @@
       primary.hang = hang;
       primary.dieAfter = 2;
       primary.publish(zoneOf(next, static_cast<int>(next) % 3, static_cast<int>(10 + next)));
-      const zone::Zone before = *site.zone().zone();
+      const dns_zone::Zone before = *site.zone().zone();
       const auto failed = site.zone().follower()->counts().failed;
       tell();
       ASSERT_TRUE(loop.until([&] { return site.zone().follower()->counts().failed > failed; }));
@@ -188,9 +189,9 @@
   stranger.publish(zoneOf(9, 0, 1));
   // Datagrams of the stand-in leave from the loopback address that the system picks: the primary's host. A
   // zone that is not ours is refused whoever names it.
-  zone::Zone other("example.net");
-  other.add({"example.net", zone::Type::SOA, 60,
-             *zoneOf(9, 0, 1).find("example.org", zone::Type::SOA)->data.begin()});
+  dns_zone::Zone other("example.net");
+  other.add({"example.net", dns_zone::Type::SOA, 60,
+             *zoneOf(9, 0, 1).find("example.org", dns_zone::Type::SOA)->data.begin()});
   stranger.publish(other);
   stranger.notify(*site.zone().address());
   tell();
@@ -267,4 +268,4 @@
 }
 
 }  // namespace
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
--- a/tests/zones/zones_test.cpp
+++ b/tests/zone_server/zones_test.cpp
@@ -8,13 +8,13 @@
 #include <fstream>
 #include <random>
 
+#include "dns_zone/update.h"
 #include "sources/sources.h"
 #include "support/loop.h"
-#include "zone/update.h"
-#include "zones/keyfile.h"
-#include "zones/script.h"
+#include "zone_server/keyfile.h"
+#include "zone_server/script.h"
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 constexpr Micros kSecond = 1000000;
@@ -34,9 +34,9 @@
 }
 std::string at(int k) { return "10.1.0." + std::to_string(k) + ":3000"; }
 
-zone::Zone read(const std::string& text) {
+dns_zone::Zone read(const std::string& text) {
   const auto r =
-      zone::readMaster("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
+      dns_zone::readMaster("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
         out = text;
         return true;
       });
@@ -51,13 +51,13 @@
 }
 
 TEST(Offer, ServersComeWithTheAttributesOfTheirTexts) {
-  const zone::Zone z = read(zoneText(
+  const dns_zone::Zone z = read(zoneText(
       1, servers(1, 3) +
              "bello-1 TXT \"state=draining\" \"zone=b\" \"pod-group=4\"\n"
              "bello-2 TXT \"started=1764600000123\" \"kind=m2\" \"colour=red\"\n"
              "_o._tcp SRV 5 0 3000 alias\nalias CNAME bello-2\n_o._tcp SRV 0 0 3000 far.example.net.\n"));
-  const Offer offer =
-      offerOf(z, {"_o._tcp.example.org"}, places::Places({everywhere()}, testNames()), testNames(), 2, 7, 99);
+  const Offer offer = offerOf(z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()),
+                              testNames(), 2, 7, 99);
   const auto& o = offer.observation;
   EXPECT_EQ(o.source, 2u);
   ASSERT_EQ(o.seen.size(), 3u);
@@ -81,8 +81,8 @@
 
 TEST(Offer, OfTwoWordsOnAStateTheCarefulOneHolds) {
   for (const char* texts : {"\"state=ready\" \"state=draining\"", "\"state=draining\" \"state=ready\""}) {
-    const zone::Zone z = read(zoneText(1, servers(1, 2) + "bello-1 TXT " + texts + "\n"));
-    const auto o = offerOf(z, {"_o._tcp.example.org"}, places::Places({everywhere()}, testNames()),
+    const dns_zone::Zone z = read(zoneText(1, servers(1, 2) + "bello-1 TXT " + texts + "\n"));
+    const auto o = offerOf(z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()),
                            testNames(), 0, 1, 9);
     EXPECT_EQ(o.observation.seen.at(0).state, ServerState::Draining);
   }
@@ -96,7 +96,7 @@
                               "k", problems);
   ASSERT_TRUE(problems.empty()) << problems[0];
   ASSERT_NE(keys.find("ops.example.org"), nullptr);
-  EXPECT_EQ(keys.find("new")->algorithm, zone::Algorithm::HmacSha512);
+  EXPECT_EQ(keys.find("new")->algorithm, dns_zone::Algorithm::HmacSha512);
   EXPECT_EQ(keys.find("new")->until - keys.find("new")->from, 36 * 3600);
   std::int64_t seconds = 0;
   EXPECT_TRUE(readTime("1970-01-02", seconds));
@@ -131,14 +131,14 @@
       "s", "example.org", problems);
   ASSERT_TRUE(problems.empty()) << problems[0];
   ASSERT_EQ(m.answer.size(), 3u);
-  EXPECT_EQ(m.answer[0].cls, zone::kClassNone);
-  EXPECT_EQ(m.answer[0].type, zone::kTypeAny);
-  EXPECT_EQ(m.answer[1].cls, zone::kClassAny);
-  EXPECT_EQ(m.answer[2].cls, zone::kIn);
+  EXPECT_EQ(m.answer[0].cls, dns_zone::kClassNone);
+  EXPECT_EQ(m.answer[0].type, dns_zone::kTypeAny);
+  EXPECT_EQ(m.answer[1].cls, dns_zone::kClassAny);
+  EXPECT_EQ(m.answer[2].cls, dns_zone::kIn);
   ASSERT_EQ(m.authority.size(), 6u);
-  EXPECT_EQ(m.authority[3].cls, zone::kClassNone);
-  EXPECT_EQ(m.authority[4].type, zone::kTypeAny);
-  EXPECT_EQ(zone::srvOf(m.authority[2].data)->target, "bello-9.example.org");
+  EXPECT_EQ(m.authority[3].cls, dns_zone::kClassNone);
+  EXPECT_EQ(m.authority[4].type, dns_zone::kTypeAny);
+  EXPECT_EQ(dns_zone::srvOf(m.authority[2].data)->target, "bello-9.example.org");
   const std::pair<const char*, const char*> wrong[] = {
       {"remove x", "s:1:1: found 'remove', expected need, need-not, add or delete"},
       {"add x 60 A 10.0.0.300", "s:1:12: found '10.0.0.300', expected an IPv4 address as the address"},
@@ -276,19 +276,19 @@
   bool listed(std::size_t count) {
     return loop.until([&] { return list().size() == count; });
   }
-  zone::Key key(const char* name = "ops", const char* secret = "0123456789abcdef") {
-    zone::Key k;
+  dns_zone::Key key(const char* name = "ops", const char* secret = "0123456789abcdef") {
+    dns_zone::Key k;
     k.name = name;
-    k.secret = std::make_shared<zone::Secret>(secret);
+    k.secret = std::make_shared<dns_zone::Secret>(secret);
     return k;
   }
-  std::string request(const std::string& script, const zone::Key& with) {
+  std::string request(const std::string& script, const dns_zone::Key& with) {
     std::vector<std::string> problems;
-    zone::Message m = readScript(script, "s", "example.org", problems);
+    dns_zone::Message m = readScript(script, "s", "example.org", problems);
     EXPECT_TRUE(problems.empty()) << problems.at(0);
     m.id = ++id;
     std::string mac;
-    return zone::sign(zone::encodeMessage(m), with, (now + net::steadyNow() - began) / kSecond, mac);
+    return dns_zone::sign(dns_zone::encodeMessage(m), with, (now + net::steadyNow() - began) / kSecond, mac);
   }
   std::string add(int k) {
     const std::string host = "bello-" + std::to_string(k);
@@ -300,7 +300,7 @@
     Client client(loop.base.get(), *sources->zones().front().address());
     client.udp->send(bytes);
     if (!loop.until([&] { return !client.answers.empty(); }, 5 * kSecond)) return -1;
-    return static_cast<int>(zone::decodeMessage(client.answers[0])->rcode);
+    return static_cast<int>(dns_zone::decodeMessage(client.answers[0])->rcode);
   }
   int update(const std::string& script) { return ask(request(script, key())); }
 };
@@ -431,8 +431,8 @@
   EXPECT_EQ(update(add(1)), 0);
   Client flood(loop.base.get(), *sources->zones().front().address());
   std::vector<std::string> problems;
-  zone::Message m = readScript(add(9), "s", "example.org", problems);
-  const std::string plain = zone::encodeMessage(m);
+  dns_zone::Message m = readScript(add(9), "s", "example.org", problems);
+  const std::string plain = dns_zone::encodeMessage(m);
   const std::string wrong = request(add(9), key("ops", "another secret 16"));
   for (int k = 0; k < 3000; ++k) {
     flood.udp->send(k % 3 == 0 ? plain : k % 3 == 1 ? wrong : plain.substr(0, 20));
@@ -449,7 +449,7 @@
   withUpdates();
   start();
   EXPECT_EQ(update(add(1)), 0);
-  const zone::Key fresh = key("new", "fedcba9876543210");
+  const dns_zone::Key fresh = key("new", "fedcba9876543210");
   EXPECT_EQ(ask(request(add(2), fresh)), 9) << "NOTAUTH: not known yet";
   keyFile(std::string("key \"ops\" secret=\"") + kSecretA + "\"\nkey \"new\" secret=\"" + kSecretB + "\"\n");
   sources->reload();
@@ -585,4 +585,4 @@
 }
 
 }  // namespace
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
