--- a/bench/zone_bench.cpp
+++ b/bench/zone_bench.cpp
@@ -143,13 +143,13 @@
   return 0;
 }
 
-// Written, then read back as a start does: snapshot, 1,000 changes behind it, both zones of the acceptor.
+// Written, then read back as a start does: snapshot, 1,000 changes behind it, both zones of the processor.
 void recovery(int records) {
   const Folder folder("recovery");
   files::Outcome outcome;
   {
     const auto files = files::openFolder(folder.path, true, outcome);
-    files::Store store(*files, "orders", dns_zone::kImageVersion);
+    files::Store store(*files, "orders", dns_zone::kSnapshotVersion);
     store.open();
     dns_zone::Zone z("example.org");
     dns_zone::Record soa{"example.org", dns_zone::Type::SOA, 60, ""};
@@ -165,31 +165,31 @@
       z.add({"_o._tcp.example.org", dns_zone::Type::SRV, 60,
              std::string("\0\0\0\12\13\270", 6) + dns_zone::wireName(host)});
     }
-    store.compact(dns_zone::encodeImage(z, {}));
+    store.compact(dns_zone::encodeSnapshot(z, {}));
     std::vector<std::string> steps;
     for (int k = 0; k < 1000; ++k) {
-      dns_zone::Step step;
+      dns_zone::JournalEntry step;
       step.change.added = {
           {"new-" + std::to_string(k) + ".example.org", dns_zone::Type::A, 60, std::string("\1\2\3\4", 4)}};
       step.request = {"ops", std::string(32, 'm'), static_cast<std::uint16_t>(k), dns_zone::Rcode::NoError, 0,
                       0};
-      steps.push_back(dns_zone::encodeStep(step));
+      steps.push_back(dns_zone::encodeJournalEntry(step));
     }
     store.append(steps);
   }
   const long before = residentKb();
   const Micros from = net::steadyNow();
   const auto files = files::openFolder(folder.path, true, outcome);
-  files::Store store(*files, "orders", dns_zone::kImageVersion);
+  files::Store store(*files, "orders", dns_zone::kSnapshotVersion);
   auto contents = store.open();
-  auto image = dns_zone::decodeImage(contents.snapshot);
+  auto image = dns_zone::decodeSnapshot(contents.snapshot);
   for (const std::string& change : contents.changes)
-    dns_zone::redo(image->zone, dns_zone::decodeStep(change)->change);
+    dns_zone::redo(image->zone, dns_zone::decodeJournalEntry(change)->change);
   const std::size_t bytes = contents.snapshot.size();
   contents = {};
-  const dns_zone::Acceptor acceptor(std::move(image->zone), {}, {});
+  const dns_zone::UpdateProcessor processor(std::move(image->zone), {}, {});
   const Micros took = net::steadyNow() - from;
-  std::cout << "| " << acceptor.durable().records() << " | " << bytes / 1024 << " | "
+  std::cout << "| " << processor.durable().records() << " | " << bytes / 1024 << " | "
             << static_cast<double>(took) / 1000 << " | " << (residentKb() - before) / 1024 << " |\n"
             << std::flush;
 }
--- a/src/dns_zone/ages.h
+++ b/src/dns_zone/first_seen.h
@@ -11,25 +11,25 @@
 
 namespace peargrade::dns_zone {
 
-struct Age {
+struct EndpointSince {
   std::string endpoint;
   Micros since = 0;
 };
 
-class Ages {
+class FirstSeen {
  public:
   static constexpr Micros kLongAgo =
       1;  // a start that nobody has to be careful of; 0 means "not said" elsewhere
 
   // What the store had: `offered` at that time, `recent` of them with their time; the others came long
   // before.
-  void restore(const std::set<std::string>& offered, const std::vector<Age>& recent);
+  void restore(const std::set<std::string>& offered, const std::vector<EndpointSince>& recent);
   // Of one that is offered now: when it was first, which is now if it was not before.
   Micros of(const std::string& endpoint, Micros now) { return since_.emplace(endpoint, now).first->second; }
   // What is not offered any more is forgotten: when it comes back it is new.
   void keep(const std::set<std::string>& offered);
   // Those that a snapshot has to hold: younger than an hour, which no server takes to warm up.
-  std::vector<Age> recent(Micros now) const;
+  std::vector<EndpointSince> recent(Micros now) const;
   std::size_t size() const { return since_.size(); }
 
  private:
--- a/src/dns_zone/master.cpp
+++ b/src/dns_zone/master_file.cpp
@@ -1,4 +1,4 @@
-#include "dns_zone/master.h"
+#include "dns_zone/master_file.h"
 
 #include <algorithm>
 #include <tao/pegtl.hpp>
@@ -165,7 +165,7 @@
 
 class Reader {
  public:
-  Reader(const std::string& origin, const ReadFile& read, const MasterBounds& bounds)
+  Reader(const std::string& origin, const ReadFile& read, const MasterFileBounds& bounds)
       : read_(read), bounds_(bounds), origin_(origin) {
     out_.zone = Zone(origin);
   }
@@ -398,7 +398,7 @@
   }
 
   const ReadFile& read_;
-  const MasterBounds& bounds_;
+  const MasterFileBounds& bounds_;
   const std::string origin_;
   Reading out_;
   std::uint32_t ttl_ = 0, last_ = 0;
@@ -408,12 +408,12 @@
 
 }  // namespace
 
-Reading readMaster(const std::string& path, const std::string& origin, const ReadFile& read,
-                   const MasterBounds& bounds) {
+Reading readMasterFile(const std::string& path, const std::string& origin, const ReadFile& read,
+                       const MasterFileBounds& bounds) {
   return Reader(origin, read, bounds).run(path);
 }
 
-std::string writeMaster(const Zone& zone) {
+std::string writeMasterFile(const Zone& zone) {
   std::string text = "$ORIGIN " + zone.origin() + ".\n";
   for (const Record& r : zone.all())
     text +=
--- a/src/dns_zone/master.h
+++ b/src/dns_zone/master_file.h
@@ -32,17 +32,17 @@
 // it cannot be read.
 using ReadFile = std::function<bool(const std::string& path, std::string& text, std::string& why)>;
 
-struct MasterBounds {
+struct MasterFileBounds {
   std::size_t records = 1000000;
   int includes = 8;            // one within another
   std::size_t mistakes = 100;  // told; reading ends there
 };
 
 // `origin`: of the zone; names are relative to it until $ORIGIN says otherwise.
-Reading readMaster(const std::string& path, const std::string& origin, const ReadFile& read,
-                   const MasterBounds& bounds = {});
+Reading readMasterFile(const std::string& path, const std::string& origin, const ReadFile& read,
+                       const MasterFileBounds& bounds = {});
 
 // The zone as a file that reads back the same.
-std::string writeMaster(const Zone& zone);
+std::string writeMasterFile(const Zone& zone);
 
 }  // namespace peargrade::dns_zone
--- a/src/dns_zone/keeper.h
+++ b/src/dns_zone/serial_policy.h
@@ -9,7 +9,7 @@
 
 namespace peargrade::dns_zone {
 
-enum class Judgement {
+enum class SerialVerdict {
   First,       // there was none
   Same,        // nothing changed
   Newer,       // a later serial
@@ -17,17 +17,17 @@
   Backwards,   // an earlier serial, or one half the circle away
   SameSerial,  // the same serial with other content
 };
-const char* codeOf(Judgement judgement);
-inline bool takes(Judgement j) {
-  return j == Judgement::First || j == Judgement::Newer || j == Judgement::Accepted;
+const char* codeOf(SerialVerdict verdict);
+inline bool replacesZone(SerialVerdict j) {
+  return j == SerialVerdict::First || j == SerialVerdict::Newer || j == SerialVerdict::Accepted;
 }
 
-class Keeper {
+class SerialPolicy {
  public:
   // `accepted`: the serial that an operator has accepted, if any.
-  Judgement judge(const Zone* now, const Zone& candidate, std::optional<std::uint32_t> accepted) const;
+  SerialVerdict judge(const Zone* now, const Zone& candidate, std::optional<std::uint32_t> accepted) const;
   // A refusal is told once, with both serials; told again only after another one or a change.
-  std::optional<std::string> tell(Judgement judgement, const Zone* now, const Zone& candidate);
+  std::optional<std::string> tell(SerialVerdict verdict, const Zone* now, const Zone& candidate);
 
  private:
   std::string told_;
--- a/src/dns_zone/image.cpp
+++ b/src/dns_zone/snapshot.cpp
@@ -1,4 +1,4 @@
-#include "dns_zone/image.h"
+#include "dns_zone/snapshot.h"
 
 namespace peargrade::dns_zone {
 namespace {
@@ -21,7 +21,7 @@
       text(r.data);
     }
   }
-  void request(const Remembered& r) {
+  void request(const AnsweredRequest& r) {
     text(r.key);
     text(r.mac);
     number(r.id, 2);
@@ -67,8 +67,8 @@
     }
     return all;
   }
-  Remembered request() {
-    Remembered r;
+  AnsweredRequest request() {
+    AnsweredRequest r;
     r.key = text();
     r.mac = text();
     r.id = static_cast<std::uint16_t>(number(2));
@@ -93,56 +93,56 @@
 
 }  // namespace
 
-std::string encodeStep(const Step& step) {
+std::string encodeJournalEntry(const JournalEntry& entry) {
   Out out;
-  out.records(step.change.removed);
-  out.records(step.change.added);
-  out.request(step.request);
+  out.records(entry.change.removed);
+  out.records(entry.change.added);
+  out.request(entry.request);
   return out.take();
 }
 
-std::optional<Step> decodeStep(const std::string& bytes) {
+std::optional<JournalEntry> decodeJournalEntry(const std::string& bytes) {
   In in(bytes);
-  Step step;
-  step.change.removed = in.records();
-  step.change.added = in.records();
-  step.request = in.request();
+  JournalEntry entry;
+  entry.change.removed = in.records();
+  entry.change.added = in.records();
+  entry.request = in.request();
   if (!in.whole()) return std::nullopt;
-  return step;
+  return entry;
 }
 
-std::string encodeImage(const Zone& zone, const std::vector<Remembered>& requests,
-                        const std::vector<Age>& ages, Micros freshAt) {
+std::string encodeSnapshot(const Zone& zone, const std::vector<AnsweredRequest>& requests,
+                           const std::vector<EndpointSince>& firstSeen, Micros freshAt) {
   Out out;
   out.text(zone.origin());
   out.records(zone.all());
   out.number(requests.size(), 4);
-  for (const Remembered& r : requests) out.request(r);
-  out.number(ages.size(), 4);
-  for (const Age& age : ages) {
-    out.text(age.endpoint);
-    out.number(static_cast<std::uint64_t>(age.since), 8);
+  for (const AnsweredRequest& r : requests) out.request(r);
+  out.number(firstSeen.size(), 4);
+  for (const EndpointSince& seen : firstSeen) {
+    out.text(seen.endpoint);
+    out.number(static_cast<std::uint64_t>(seen.since), 8);
   }
   out.number(static_cast<std::uint64_t>(freshAt), 8);
   return out.take();
 }
 
-std::optional<Image> decodeImage(const std::string& bytes) {
+std::optional<Snapshot> decodeSnapshot(const std::string& bytes) {
   In in(bytes);
-  Image image;
-  image.zone = Zone(in.text());
-  for (const Record& r : in.records()) image.zone.add(r);
+  Snapshot snapshot;
+  snapshot.zone = Zone(in.text());
+  for (const Record& r : in.records()) snapshot.zone.add(r);
   for (std::uint64_t left = in.number(4); left > 0 && in.good(); --left)
-    image.requests.push_back(in.request());
+    snapshot.requests.push_back(in.request());
   for (std::uint64_t left = in.number(4); left > 0 && in.good(); --left) {
-    Age age;
-    age.endpoint = in.text();
-    age.since = static_cast<Micros>(in.number(8));
-    image.ages.push_back(std::move(age));
+    EndpointSince seen;
+    seen.endpoint = in.text();
+    seen.since = static_cast<Micros>(in.number(8));
+    snapshot.firstSeen.push_back(std::move(seen));
   }
-  image.freshAt = static_cast<Micros>(in.number(8));
+  snapshot.freshAt = static_cast<Micros>(in.number(8));
   if (!in.whole()) return std::nullopt;
-  return image;
+  return snapshot;
 }
 
 }  // namespace peargrade::dns_zone
--- a/src/dns_zone/image.h
+++ b/src/dns_zone/snapshot.h
@@ -6,16 +6,16 @@
 #include <string>
 #include <vector>
 
-#include "dns_zone/ages.h"
+#include "dns_zone/first_seen.h"
 #include "dns_zone/message.h"
 #include "dns_zone/zone.h"
 
 namespace peargrade::dns_zone {
 
-inline constexpr std::uint32_t kImageVersion = 1;
+inline constexpr std::uint32_t kSnapshotVersion = 1;
 
 // An accepted request: sent again, it gets the same answer and is not carried out again.
-struct Remembered {
+struct AnsweredRequest {
   std::string key, mac;
   std::uint16_t id = 0;
   Rcode rcode = Rcode::NoError;
@@ -23,22 +23,22 @@
   std::int64_t at = 0;     // when it was accepted
 };
 
-struct Step {
+struct JournalEntry {
   Difference change;
-  Remembered request;
+  AnsweredRequest request;
 };
 
-std::string encodeStep(const Step& step);
-std::optional<Step> decodeStep(const std::string& bytes);
+std::string encodeJournalEntry(const JournalEntry& entry);
+std::optional<JournalEntry> decodeJournalEntry(const std::string& bytes);
 
-struct Image {
+struct Snapshot {
   Zone zone;
-  std::vector<Remembered> requests;
-  std::vector<Age> ages;
+  std::vector<AnsweredRequest> requests;
+  std::vector<EndpointSince> firstSeen;
   Micros freshAt = 0;  // of a secondary: when its primary was last known to have nothing newer
 };
-std::string encodeImage(const Zone& zone, const std::vector<Remembered>& requests,
-                        const std::vector<Age>& ages = {}, Micros freshAt = 0);
-std::optional<Image> decodeImage(const std::string& bytes);
+std::string encodeSnapshot(const Zone& zone, const std::vector<AnsweredRequest>& requests,
+                           const std::vector<EndpointSince>& firstSeen = {}, Micros freshAt = 0);
+std::optional<Snapshot> decodeSnapshot(const std::string& bytes);
 
 }  // namespace peargrade::dns_zone
--- a/src/dns_zone/acceptor.cpp
+++ b/src/dns_zone/update_processor.cpp
@@ -1,4 +1,4 @@
-#include "dns_zone/acceptor.h"
+#include "dns_zone/update_processor.h"
 
 #include <algorithm>
 
@@ -56,16 +56,17 @@
 
 }  // namespace
 
-Acceptor::Acceptor(Zone zone, std::vector<Remembered> requests, AcceptorSettings settings)
+UpdateProcessor::UpdateProcessor(Zone zone, std::vector<AnsweredRequest> requests,
+                                 UpdateProcessorSettings settings)
     : settings_(std::move(settings)), durable_(zone), zone_(std::move(zone)) {
-  for (Remembered& r : requests) {
+  for (AnsweredRequest& r : requests) {
     const Request request{r.key, r.id, r.mac};
-    ages_.emplace(r.until, request);
+    expiries_.emplace(r.until, request);
     remembered_[request] = std::move(r);
   }
 }
 
-bool Acceptor::granted(const std::string& key, const RawRecord& change) const {
+bool UpdateProcessor::granted(const std::string& key, const RawRecord& change) const {
   const auto type = typeOf(change.type);
   return std::any_of(settings_.grants.begin(), settings_.grants.end(), [&](const Grant& g) {
     const bool below = g.name.compare(0, 2, "*.") == 0;
@@ -75,21 +76,22 @@
   });
 }
 
-void Acceptor::forget(std::int64_t now) {
-  while (!ages_.empty() && ages_.begin()->first < now) {
-    remembered_.erase(ages_.begin()->second);
-    ages_.erase(ages_.begin());
+void UpdateProcessor::forget(std::int64_t now) {
+  while (!expiries_.empty() && expiries_.begin()->first < now) {
+    remembered_.erase(expiries_.begin()->second);
+    expiries_.erase(expiries_.begin());
   }
 }
 
-std::string Acceptor::signedReply(const Pending& p, Rcode rcode, const Keys& keys, std::int64_t now) const {
+std::string UpdateProcessor::signedReply(const Pending& p, Rcode rcode, const Keys& keys,
+                                         std::int64_t now) const {
   const std::string reply = withRcode(p.reply, rcode);
-  const Key* key = keys.find(p.step.request.key);
+  const Key* key = keys.find(p.entry.request.key);
   std::string mac;
-  return key == nullptr ? reply : sign(reply, *key, now, mac, p.step.request.mac);
+  return key == nullptr ? reply : sign(reply, *key, now, mac, p.entry.request.mac);
 }
 
-Acceptor::Taken Acceptor::take(const std::string& bytes, const Keys& keys, std::int64_t now) {
+UpdateProcessor::Taken UpdateProcessor::take(const std::string& bytes, const Keys& keys, std::int64_t now) {
   Taken taken;
   taken.answered = true;
   const auto decoded = decodeMessage(bytes);
@@ -125,22 +127,22 @@
   return carryOut(m, checked, keys, now);
 }
 
-std::string Acceptor::signedNow(const Message& request, const Checked& checked, Rcode rcode, const Keys& keys,
-                                std::int64_t now) {
+std::string UpdateProcessor::signedNow(const Message& request, const Checked& checked, Rcode rcode,
+                                       const Keys& keys, std::int64_t now) {
   std::string mac;
   return sign(replyTo(request, rcode), *keys.find(checked.key), now, mac, checked.mac);
 }
 
 // The same request again: on its way to the disk, or answered before.
-std::optional<Acceptor::Taken> Acceptor::repeated(const Message& m, const Checked& checked, const Keys& keys,
-                                                  std::int64_t now) {
+std::optional<UpdateProcessor::Taken> UpdateProcessor::repeated(const Message& m, const Checked& checked,
+                                                                const Keys& keys, std::int64_t now) {
   Taken taken;
   taken.answered = true;
   taken.code = "repeated";
   const Request request{checked.key, m.id, checked.mac};
   for (auto* queue : {&batch_, &open_}) {
     for (Pending& p : *queue) {
-      if (Request{p.step.request.key, p.step.request.id, p.step.request.mac} != request) continue;
+      if (Request{p.entry.request.key, p.entry.request.id, p.entry.request.mac} != request) continue;
       // Who sends it again and again while it is on its way gets so many answers; the first is on its way
       // too.
       if (p.tickets.size() >= kTicketsMost) return taken;
@@ -158,8 +160,8 @@
 }
 
 // A signed request that was not met before.
-Acceptor::Taken Acceptor::carryOut(const Message& m, const Checked& checked, const Keys& keys,
-                                   std::int64_t now) {
+UpdateProcessor::Taken UpdateProcessor::carryOut(const Message& m, const Checked& checked, const Keys& keys,
+                                                 std::int64_t now) {
   Taken taken;
   taken.answered = true;
   const auto refuse = [&](Rcode rcode, const char* code, const std::string& why) {
@@ -188,13 +190,13 @@
     return taken;
   }
   Pending p;
-  p.step.change = applied.change;
-  p.step.request = {checked.key,
-                    checked.mac,
-                    m.id,
-                    applied.rcode,
-                    static_cast<std::int64_t>(checked.signedAt) + checked.fudge,
-                    now};
+  p.entry.change = applied.change;
+  p.entry.request = {checked.key,
+                     checked.mac,
+                     m.id,
+                     applied.rcode,
+                     static_cast<std::int64_t>(checked.signedAt) + checked.fudge,
+                     now};
   p.reply = replyTo(m, applied.rcode);
   p.changes = changes;
   taken.answered = false;
@@ -204,18 +206,19 @@
   return taken;
 }
 
-std::vector<std::string> Acceptor::begin() {
+std::vector<std::string> UpdateProcessor::begin() {
   writing_ = true;
   batch_ = std::move(open_);
   open_.clear();
-  std::vector<std::string> steps;
+  std::vector<std::string> entries;
   for (const Pending& p : batch_) {
-    if (p.changes) steps.push_back(encodeStep(p.step));
+    if (p.changes) entries.push_back(encodeJournalEntry(p.entry));
   }
-  return steps;
+  return entries;
 }
 
-std::vector<Acceptor::Answer> Acceptor::settled(bool onDisk, const Keys& keys, std::int64_t now) {
+std::vector<UpdateProcessor::Answer> UpdateProcessor::settled(bool onDisk, const Keys& keys,
+                                                              std::int64_t now) {
   std::vector<Answer> answers;
   writing_ = false;
   lastChanges_.clear();
@@ -225,7 +228,7 @@
   if (!onDisk) {
     // Latest first: each is taken back from the zone as it found it.
     for (auto* queue : {&open_, &batch_}) {
-      for (auto p = queue->rbegin(); p != queue->rend(); ++p) undo(zone_, p->step.change);
+      for (auto p = queue->rbegin(); p != queue->rend(); ++p) undo(zone_, p->entry.change);
     }
     for (auto* queue : {&batch_, &open_}) {
       for (const Pending& p : *queue) tell(p, Rcode::ServFail);
@@ -234,27 +237,28 @@
     return answers;
   }
   for (Pending& p : batch_) {
-    redo(durable_, p.step.change);
-    if (p.changes) lastChanges_.push_back(p.step.change);
-    tell(p, p.step.request.rcode);
+    redo(durable_, p.entry.change);
+    if (p.changes) lastChanges_.push_back(p.entry.change);
+    tell(p, p.entry.request.rcode);
     if (!p.changes) continue;
-    const Request request{p.step.request.key, p.step.request.id, p.step.request.mac};
-    ages_.emplace(p.step.request.until, request);
-    remembered_[request] = std::move(p.step.request);
+    const Request request{p.entry.request.key, p.entry.request.id, p.entry.request.mac};
+    expiries_.emplace(p.entry.request.until, request);
+    remembered_[request] = std::move(p.entry.request);
   }
   batch_.clear();
   return answers;
 }
 
-std::string Acceptor::snapshot(std::int64_t now, const std::vector<Age>& ages, Micros freshAt) const {
-  std::vector<Remembered> requests;
+std::string UpdateProcessor::snapshot(std::int64_t now, const std::vector<EndpointSince>& firstSeen,
+                                      Micros freshAt) const {
+  std::vector<AnsweredRequest> requests;
   for (const auto& [request, r] : remembered_) {
     if (r.until >= now) requests.push_back(r);
   }
-  return encodeImage(durable_, requests, ages, freshAt);
+  return encodeSnapshot(durable_, requests, firstSeen, freshAt);
 }
 
-void Acceptor::replace(Zone zone) {
+void UpdateProcessor::replace(Zone zone) {
   durable_ = zone;
   zone_ = std::move(zone);
 }
--- a/src/dns_zone/acceptor.h
+++ b/src/dns_zone/update_processor.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "dns_zone/image.h"
+#include "dns_zone/snapshot.h"
 #include "dns_zone/tsig.h"
 #include "dns_zone/update.h"
 
@@ -21,17 +21,17 @@
   std::set<Type> types;  // empty: all
 };
 
-struct AcceptorSettings {
+struct UpdateProcessorSettings {
   std::vector<Grant> grants;
   std::size_t remembered = 100000;  // requests that may be sent again; when full, updates wait for room
   std::size_t pending = 4096;       // accepted and not on disk yet
 };
 
-class Acceptor {
+class UpdateProcessor {
  public:
   using Ticket = std::uint64_t;
 
-  Acceptor(Zone zone, std::vector<Remembered> requests, AcceptorSettings settings);
+  UpdateProcessor(Zone zone, std::vector<AnsweredRequest> requests, UpdateProcessorSettings settings);
 
   struct Taken {
     bool answered = false;  // `answer` is to be sent now; else once the ticket's batch is settled
@@ -62,14 +62,15 @@
   const Zone& durable() const { return durable_; }  // what is on disk
   const Zone& zone() const { return zone_; }        // with what is on its way there
   // What a snapshot holds; only while nothing is being written.
-  std::string snapshot(std::int64_t now, const std::vector<Age>& ages = {}, Micros freshAt = 0) const;
+  std::string snapshot(std::int64_t now, const std::vector<EndpointSince>& firstSeen = {},
+                       Micros freshAt = 0) const;
   // Another zone takes the place of this one (a file was read, a transfer came). Only while nothing waits.
   void replace(Zone zone);
 
  private:
   using Request = std::tuple<std::string, std::uint16_t, std::string>;  // key, id, MAC
   struct Pending {
-    Step step;
+    JournalEntry entry;
     std::vector<std::pair<Ticket, std::uint16_t>> tickets;
     std::string reply;  // without its signature
     bool changes = false;
@@ -83,10 +84,10 @@
   void forget(std::int64_t now);
   std::string signedReply(const Pending& p, Rcode rcode, const Keys& keys, std::int64_t now) const;
 
-  AcceptorSettings settings_;
+  UpdateProcessorSettings settings_;
   Zone durable_, zone_;
-  std::map<Request, Remembered> remembered_;
-  std::multimap<std::int64_t, Request> ages_;
+  std::map<Request, AnsweredRequest> remembered_;
+  std::multimap<std::int64_t, Request> expiries_;
   std::deque<Pending> open_, batch_;
   std::vector<Difference> lastChanges_;
   bool writing_ = false;
--- a/src/zone_server/commands.cpp
+++ b/src/zone_server/commands.cpp
@@ -13,7 +13,7 @@
 #include <random>
 #include <sstream>
 
-#include "dns_zone/master.h"
+#include "dns_zone/master_file.h"
 #include "dns_zone/tsig.h"
 #include "dns_zone/update.h"
 #include "net/datagram.h"
@@ -43,7 +43,7 @@
     folder = slash == std::string::npos ? "." : file.substr(0, slash + 1);
     name = slash == std::string::npos ? file : file.substr(slash + 1);
   }
-  return dns_zone::readMaster(name, asked.origin, readerOf(folder));
+  return dns_zone::readMasterFile(name, asked.origin, readerOf(folder));
 }
 
 void mistakes(Writer& out, const char* key, const std::vector<dns_zone::Mistake>& all) {
@@ -109,7 +109,7 @@
   for (const dns_zone::Mistake& m : r.mistakes) std::cerr << m.text() << '\n';
   if (!r.mistakes.empty()) return 1;
   if (!asked.json) {
-    std::cout << dns_zone::writeMaster(r.zone);
+    std::cout << dns_zone::writeMasterFile(r.zone);
     return 0;
   }
   rapidjson::OStreamWrapper stream(std::cout);
--- a/src/zone_server/disk.cpp
+++ b/src/zone_server/disk.cpp
@@ -46,15 +46,15 @@
   stored.damaged =
       contents.found == Found::Newer || contents.found == Found::Damaged || contents.found == Found::Failed;
   if (contents.found != Found::Whole) return;
-  stored.image = dns_zone::decodeImage(contents.snapshot);
-  if (!stored.image || stored.image->zone.origin() != zone.origin) {
+  stored.snapshot = dns_zone::decodeSnapshot(contents.snapshot);
+  if (!stored.snapshot || stored.snapshot->zone.origin() != zone.origin) {
     stored.errors.push_back(zone.state + ": holds another zone, or one that cannot be read");
-    stored.image.reset();
+    stored.snapshot.reset();
     stored.damaged = true;
     return;
   }
   for (const std::string& change : contents.changes) {
-    if (auto step = dns_zone::decodeStep(change)) stored.steps.push_back(std::move(*step));
+    if (auto entry = dns_zone::decodeJournalEntry(change)) stored.entries.push_back(std::move(*entry));
   }
 }
 
@@ -76,17 +76,17 @@
     stored.damaged = true;
     return stored;
   }
-  disk.store = std::make_unique<files::Store>(*disk.files, zone.label, dns_zone::kImageVersion);
+  disk.store = std::make_unique<files::Store>(*disk.files, zone.label, dns_zone::kSnapshotVersion);
   readContents(zone, disk.store->open(), stored);
   return stored;
 }
 
-Written appendSteps(DiskStore& disk, const std::vector<std::string>& steps) {
-  return disk.store ? writtenTo(disk, disk.store->append(steps)) : noStore();
+Written appendEntries(DiskStore& disk, const std::vector<std::string>& entries) {
+  return disk.store ? writtenTo(disk, disk.store->append(entries)) : noStore();
 }
 
-Written writeSnapshot(DiskStore& disk, const std::string& image) {
-  return disk.store ? writtenTo(disk, disk.store->compact(image)) : noStore();
+Written writeSnapshot(DiskStore& disk, const std::string& snapshot) {
+  return disk.store ? writtenTo(disk, disk.store->compact(snapshot)) : noStore();
 }
 
 FileReading readIfChanged(const op::Zone& zone, const std::string& last, bool always) {
@@ -94,7 +94,7 @@
   found.accepted = acceptedSerial(zone);
   found.signature = signatureOf(zone.folder, filesIn(last, zone.file));
   if (!always && !found.accepted && found.signature == last) return found;
-  found.reading = dns_zone::readMaster(zone.file, zone.origin, readerOf(zone.folder));
+  found.reading = dns_zone::readMasterFile(zone.file, zone.origin, readerOf(zone.folder));
   const std::vector<std::string>& read = found.reading->files;
   found.signature = signatureOf(zone.folder, read.empty() ? std::vector<std::string>{zone.file} : read);
   return found;
--- a/src/zone_server/disk.h
+++ b/src/zone_server/disk.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "dns_zone/image.h"
-#include "dns_zone/master.h"
+#include "dns_zone/master_file.h"
+#include "dns_zone/snapshot.h"
 #include "files/store.h"
 #include "operator/operator.h"
 
@@ -27,8 +27,8 @@
 struct StoredZone {
   std::vector<std::string> errors, notes;  // for the log, without the zone's label
   bool damaged = false;                    // nothing is to be written there
-  std::optional<dns_zone::Image> image;
-  std::vector<dns_zone::Step> steps;  // changes behind the image, in order
+  std::optional<dns_zone::Snapshot> snapshot;
+  std::vector<dns_zone::JournalEntry> entries;  // changes behind the snapshot, in order
 };
 // Opens the store in the zone's state folder; without such a folder there is nothing to open.
 StoredZone openStore(const op::Zone& zone, DiskStore& disk);
@@ -38,8 +38,8 @@
   files::Outcome outcome;
   std::size_t journalBytes = 0, snapshotBytes = 0;
 };
-Written appendSteps(DiskStore& disk, const std::vector<std::string>& steps);
-Written writeSnapshot(DiskStore& disk, const std::string& image);
+Written appendEntries(DiskStore& disk, const std::vector<std::string>& entries);
+Written writeSnapshot(DiskStore& disk, const std::string& snapshot);
 
 // The zone file as it was found.
 struct FileReading {
--- a/src/zone_server/zonesource.cpp
+++ b/src/zone_server/zonesource.cpp
@@ -20,8 +20,8 @@
 
 ZoneSource::~ZoneSource() = default;
 
-dns_zone::AcceptorSettings ZoneSource::settings() const {
-  dns_zone::AcceptorSettings s;
+dns_zone::UpdateProcessorSettings ZoneSource::settings() const {
+  dns_zone::UpdateProcessorSettings s;
   s.remembered = op_.remembered;
   s.pending = op_.pending;
   for (const op::Grant& g : op_.grants) {
@@ -51,42 +51,42 @@
   for (const std::string& n : stored.notes)
     around_.log->warn("zones") << op_.label << ": " << n << " code=recovery";
   broken_ = stored.damaged;
-  if (stored.image) restore(stored);
-  if (!op_.state.empty() && !broken_ && acceptor_) compact();
-  if (!op_.file.empty() && (!op_.listen || !acceptor_)) look(true);
-  if (op_.file.empty() && op_.primaries.empty() && !acceptor_ && op_.listen && !broken_)
-    take(emptyZone(), dns_zone::Judgement::First);
-  if (stored.image) freshAt_ = freshStored_ = stored.image->freshAt;
+  if (stored.snapshot) restore(stored);
+  if (!op_.state.empty() && !broken_ && processor_) compact();
+  if (!op_.file.empty() && (!op_.listen || !processor_)) look(true);
+  if (op_.file.empty() && op_.primaries.empty() && !processor_ && op_.listen && !broken_)
+    take(emptyZone(), dns_zone::SerialVerdict::First);
+  if (stored.snapshot) freshAt_ = freshStored_ = stored.snapshot->freshAt;
   if (op_.listen) listen();
   if (!op_.primaries.empty()) follow();
 }
 
-// The zone as the store has it: its image, and the changes behind that carried out.
+// The zone as the store has it: its snapshot, and the changes behind that carried out.
 void ZoneSource::restore(StoredZone& stored) {
-  dns_zone::Zone zone = std::move(stored.image->zone);
-  std::vector<dns_zone::Remembered> requests = std::move(stored.image->requests);
+  dns_zone::Zone zone = std::move(stored.snapshot->zone);
+  std::vector<dns_zone::AnsweredRequest> requests = std::move(stored.snapshot->requests);
   const auto offered = [&] {
     return offerOf(zone, op_.services, places_, *around_.names, number_, 0, kForEver);
   };
-  std::vector<dns_zone::Age> ages = std::move(stored.image->ages);
+  std::vector<dns_zone::EndpointSince> firstSeen = std::move(stored.snapshot->firstSeen);
   std::set<std::string> there = offered().endpoints;
   std::map<std::string, Micros> changed;  // targets, and when a change behind the snapshot last named them
-  for (dns_zone::Step& step : stored.steps) {
-    dns_zone::redo(zone, step.change);
-    addDrained(step.change, drained_);
-    addTargets(step.change, step.request.at * 1000000, changed);
-    requests.push_back(std::move(step.request));
+  for (dns_zone::JournalEntry& entry : stored.entries) {
+    dns_zone::redo(zone, entry.change);
+    addDrained(entry.change, drained_);
+    addTargets(entry.change, entry.request.at * 1000000, changed);
+    requests.push_back(std::move(entry.request));
   }
   for (const membership::Sighting& s : offered().observation.seen) {
     const auto at = changed.find(s.name);
     if (there.insert(s.endpoint).second)
-      ages.push_back({s.endpoint, at == changed.end() ? around_.clock() : at->second});
+      firstSeen.push_back({s.endpoint, at == changed.end() ? around_.clock() : at->second});
   }
-  ages_.restore(there, ages);
+  firstSeen_.restore(there, firstSeen);
   around_.log->info("zones") << op_.label << ": serial " << zone.serial() << ", " << zone.records()
-                             << " records from the store, " << stored.steps.size()
+                             << " records from the store, " << stored.entries.size()
                              << " changes behind its snapshot";
-  acceptor_ = std::make_unique<dns_zone::Acceptor>(std::move(zone), std::move(requests), settings());
+  processor_ = std::make_unique<dns_zone::UpdateProcessor>(std::move(zone), std::move(requests), settings());
   publishSoon_.in(0);
 }
 
@@ -100,19 +100,19 @@
   return empty;
 }
 
-void ZoneSource::take(dns_zone::Zone zone, dns_zone::Judgement judgement) {
+void ZoneSource::take(dns_zone::Zone zone, dns_zone::SerialVerdict verdict) {
   if (busy_) {
     next_ = std::move(zone);
-    nextJudgement_ = judgement;
+    nextVerdict_ = verdict;
     return;
   }
   around_.log->info("zones") << op_.label << ": serial " << zone.serial() << ", " << zone.records()
-                             << " records taken code=" << dns_zone::codeOf(judgement);
-  if (!acceptor_)
-    acceptor_ = std::make_unique<dns_zone::Acceptor>(std::move(zone), std::vector<dns_zone::Remembered>{},
-                                                     settings());
+                             << " records taken code=" << dns_zone::codeOf(verdict);
+  if (!processor_)
+    processor_ = std::make_unique<dns_zone::UpdateProcessor>(
+        std::move(zone), std::vector<dns_zone::AnsweredRequest>{}, settings());
   else
-    acceptor_->replace(std::move(zone));
+    processor_->replace(std::move(zone));
   publishSoon_.in(0);
   if (!op_.state.empty() && !broken_) compact();
 }
--- a/src/zone_server/zonesource.h
+++ b/src/zone_server/zonesource.h
@@ -1,14 +1,14 @@
 // One zone that this installation keeps: its file watched, its updates taken in, its store written, and what
-// it offers told to the membership. It holds together what decides: dns_zone::Keeper, dns_zone::Acceptor and
-// files::Store.
+// it offers told to the membership. It holds together what decides: dns_zone::SerialPolicy,
+// dns_zone::UpdateProcessor and files::Store.
 #pragma once
 
 #include <limits>
 #include <map>
 #include <optional>
 
-#include "dns_zone/acceptor.h"
-#include "dns_zone/keeper.h"
+#include "dns_zone/serial_policy.h"
+#include "dns_zone/update_processor.h"
 #include "zone_server/context.h"
 #include "zone_server/disk.h"
 #include "zone_server/follower.h"
@@ -31,7 +31,7 @@
 
   void reload();                          // SIGHUP: file and keys are read anew
   bool ready() const { return loaded_; }  // what the disk had is known
-  const dns_zone::Zone* zone() const { return acceptor_ ? &acceptor_->durable() : nullptr; }
+  const dns_zone::Zone* zone() const { return processor_ ? &processor_->durable() : nullptr; }
   std::optional<net::Address> address() const {
     return listener_ ? std::optional<net::Address>(listener_->address()) : std::nullopt;
   }
@@ -53,7 +53,7 @@
   void loaded(StoredZone& stored);
   void restore(StoredZone& stored);
   dns_zone::Zone emptyZone() const;
-  void take(dns_zone::Zone zone, dns_zone::Judgement judgement);
+  void take(dns_zone::Zone zone, dns_zone::SerialVerdict verdict);
   // ---- zonesource_file.cpp: the zone file ----
   void look(bool always);
   void looked(const FileReading& found);
@@ -66,7 +66,7 @@
   // ---- zonesource_updates.cpp: dynamic updates ----
   void listen();
   void onMessage(const std::string& message, const std::string& peer, Listener::Reply reply);
-  void refused(const dns_zone::Acceptor::Taken& taken, const std::string& peer);
+  void refused(const dns_zone::UpdateProcessor::Taken& taken, const std::string& peer);
   // ---- zonesource_store.cpp: batches and snapshots ----
   void writeNext();
   void written(const files::Outcome& outcome);
@@ -77,7 +77,7 @@
   void publish();
   void tellNotes(const std::vector<std::string>& all);
   std::int64_t unixNow() const { return around_.clock() / 1000000; }
-  dns_zone::AcceptorSettings settings() const;
+  dns_zone::UpdateProcessorSettings settings() const;
 
   const Context around_;
   const op::Zone& op_;
@@ -86,9 +86,9 @@
   Observe observe_;
   const locality::Places places_;
   std::shared_ptr<DiskStore> disk_;  // of the worker's thread; only passed on here
-  dns_zone::Keeper keeper_;
-  std::unique_ptr<dns_zone::Acceptor> acceptor_;
-  dns_zone::Ages ages_;
+  dns_zone::SerialPolicy serialPolicy_;
+  std::unique_ptr<dns_zone::UpdateProcessor> processor_;
+  dns_zone::FirstSeen firstSeen_;
   std::set<std::string>
       drained_;  // names drained since the last word to the membership: none of a burst is lost
   bool published_ = false;
@@ -96,13 +96,13 @@
   std::unique_ptr<Listener> listener_;
   std::unique_ptr<Follower> follower_;
   Micros freshAt_ = 0, freshStored_ = 0;  // of the primary's word, and as the store has it
-  std::map<dns_zone::Acceptor::Ticket, Listener::Reply> waiting_;
+  std::map<dns_zone::UpdateProcessor::Ticket, Listener::Reply> waiting_;
   net::Timer watch_, publishSoon_, retry_, listenAgain_;
   std::string signature_;  // of the files as they were read last
   bool loaded_ = false, busy_ = false, looking_ = false, broken_ = false;
   std::size_t journalBytes_ = 0, snapshotBytes_ = 0;
   std::optional<dns_zone::Zone> next_;  // a whole new zone waits until what is being written is settled
-  dns_zone::Judgement nextJudgement_ = dns_zone::Judgement::Newer;
+  dns_zone::SerialVerdict nextVerdict_ = dns_zone::SerialVerdict::Newer;
   std::string notes_;  // as told last
   Micros refusedToldAt_ = 0;
   std::uint64_t refusedUntold_ = 0;
--- a/src/zone_server/zonesource_file.cpp
+++ b/src/zone_server/zonesource_file.cpp
@@ -31,17 +31,17 @@
     return;
   }
   const dns_zone::Zone* now = zone();
-  const dns_zone::Judgement judgement = keeper_.judge(now, reading.zone, found.accepted);
-  if (const auto text = keeper_.tell(judgement, now, reading.zone)) around_.log->error("zones") << *text;
+  const dns_zone::SerialVerdict verdict = serialPolicy_.judge(now, reading.zone, found.accepted);
+  if (const auto text = serialPolicy_.tell(verdict, now, reading.zone)) around_.log->error("zones") << *text;
   if (found.accepted &&
-      (judgement == dns_zone::Judgement::Accepted || judgement == dns_zone::Judgement::Same)) {
+      (verdict == dns_zone::SerialVerdict::Accepted || verdict == dns_zone::SerialVerdict::Same)) {
     const std::string marker = acceptMarkerPath(op_.state, op_.label);
     worker_.run([marker]() -> Worker::Done {
       std::remove(marker.c_str());
       return nullptr;
     });
   }
-  if (dns_zone::takes(judgement)) take(reading.zone, judgement);
+  if (dns_zone::replacesZone(verdict)) take(reading.zone, verdict);
 }
 
 void ZoneSource::tellMistakes(const std::vector<dns_zone::Mistake>& mistakes) {
@@ -51,7 +51,7 @@
     around_.log->error("zones") << op_.label << ": " << m.text() << " code=zone-file";
   }
   around_.log->error("zones") << op_.label << ": " << mistakes.size() << " mistakes, the zone "
-                              << (acceptor_ ? "that was read before stays in force" : "is empty")
+                              << (processor_ ? "that was read before stays in force" : "is empty")
                               << " code=zone-file";
 }
 
--- a/src/zone_server/zonesource_primary.cpp
+++ b/src/zone_server/zonesource_primary.cpp
@@ -20,13 +20,13 @@
   const dns_zone::Zone* now = this->zone();
   // Read when a transfer is at hand, which is seldom.
   const std::optional<std::uint32_t> accepted = acceptedSerial(op_);
-  const dns_zone::Judgement judgement = keeper_.judge(now, zone, accepted);
-  if (const auto text = keeper_.tell(judgement, now, zone)) around_.log->error("zones") << *text;
-  if (judgement == dns_zone::Judgement::Same) return true;
-  if (!dns_zone::takes(judgement)) return false;
+  const dns_zone::SerialVerdict verdict = serialPolicy_.judge(now, zone, accepted);
+  if (const auto text = serialPolicy_.tell(verdict, now, zone)) around_.log->error("zones") << *text;
+  if (verdict == dns_zone::SerialVerdict::Same) return true;
+  if (!dns_zone::replacesZone(verdict)) return false;
   if (accepted) std::remove(acceptMarkerPath(op_.state, op_.label).c_str());
   freshAt_ = freshStored_ = around_.clock();
-  take(zone, judgement);
+  take(zone, verdict);
   return true;
 }
 
@@ -35,7 +35,7 @@
 void ZoneSource::fresh() {
   freshAt_ = around_.clock();
   publishSoon_.in(0);
-  if (op_.state.empty() || broken_ || !acceptor_) return;
+  if (op_.state.empty() || broken_ || !processor_) return;
   const Micros expire = static_cast<Micros>(zone()->soa().expire) * 1000000;
   if (freshAt_ - freshStored_ < expire / 8) return;
   freshStored_ = freshAt_;
--- a/src/zone_server/zonesource_publish.cpp
+++ b/src/zone_server/zonesource_publish.cpp
@@ -4,22 +4,23 @@
 namespace peargrade::zone_server {
 
 void ZoneSource::publish() {
-  if (!acceptor_) return;
+  if (!processor_) return;
   const Micros now = around_.clock();
   const auto offered = [&](const std::set<std::string>& drained) {
     const Micros until = follower_ && follower_->expiresAt() != 0 ? follower_->expiresAt() : kForEver;
-    return offerOf(acceptor_->durable(), op_.services, places_, *around_.names, number_, now, until, drained);
+    return offerOf(processor_->durable(), op_.services, places_, *around_.names, number_, now, until,
+                   drained);
   };
   const auto aged = [&](membership::Observation o) {
     for (membership::Sighting& s : o.seen) {
       const bool warm = !published_ && around_.firstAnswerWarm;
-      const Micros since = ages_.of(s.endpoint, warm ? dns_zone::Ages::kLongAgo : now);
+      const Micros since = firstSeen_.of(s.endpoint, warm ? dns_zone::FirstSeen::kLongAgo : now);
       if (s.startedAt == 0) s.startedAt = since;
     }
     return o;
   };
   const Offer offer = offered({});
-  ages_.keep(offer.endpoints);
+  firstSeen_.keep(offer.endpoints);
   // A drain that was taken back within the same burst was a drain all the same: it ends with a new start
   // only.
   if (!drained_.empty()) observe_(aged(offered(std::exchange(drained_, {})).observation));
--- a/src/zone_server/zonesource_store.cpp
+++ b/src/zone_server/zonesource_store.cpp
@@ -13,32 +13,32 @@
 
 // One batch on its way at a time: what comes meanwhile is the next one, with one sync.
 void ZoneSource::writeNext() {
-  if (busy_ || !acceptor_ || !acceptor_->waiting()) return;
+  if (busy_ || !processor_ || !processor_->waiting()) return;
   busy_ = true;
   ++counts_.batches;
-  auto steps = acceptor_->begin();
-  if (steps.empty()) return written({});
-  worker_.run(
-      [this, disk = disk_, steps = std::move(steps), alive = std::weak_ptr<bool>(alive_)]() -> Worker::Done {
-        const Written result = appendSteps(*disk, steps);
-        return [this, alive, result] {
-          if (alive.expired()) return;
-          journalBytes_ = result.journalBytes;
-          written(result.outcome);
-        };
-      });
+  auto entries = processor_->begin();
+  if (entries.empty()) return written({});
+  worker_.run([this, disk = disk_, entries = std::move(entries),
+               alive = std::weak_ptr<bool>(alive_)]() -> Worker::Done {
+    const Written result = appendEntries(*disk, entries);
+    return [this, alive, result] {
+      if (alive.expired()) return;
+      journalBytes_ = result.journalBytes;
+      written(result.outcome);
+    };
+  });
 }
 
 void ZoneSource::written(const files::Outcome& outcome) {
   busy_ = false;
-  for (const auto& answer : acceptor_->settled(outcome.ok, keys_, unixNow())) {
+  for (const auto& answer : processor_->settled(outcome.ok, keys_, unixNow())) {
     const auto at = waiting_.find(answer.ticket);
     if (at == waiting_.end()) continue;
     at->second(answer.bytes);
     waiting_.erase(at);
   }
   if (outcome.ok) {
-    for (const dns_zone::Difference& change : acceptor_->lastChanges()) addDrained(change, drained_);
+    for (const dns_zone::Difference& change : processor_->lastChanges()) addDrained(change, drained_);
     if (!publishSoon_.set()) publishSoon_.in(kGather);
   } else {
     ++counts_.failedBatches;
@@ -51,14 +51,14 @@
 }
 
 void ZoneSource::compact() {
-  if (op_.state.empty() || broken_ || !acceptor_) return;
+  if (op_.state.empty() || broken_ || !processor_) return;
   if (busy_) return retry_.in(kGather);
   busy_ = true;
   ++counts_.compactions;
   worker_.run([this, disk = disk_,
-               image = acceptor_->snapshot(unixNow(), ages_.recent(around_.clock()), freshAt_),
+               snapshot = processor_->snapshot(unixNow(), firstSeen_.recent(around_.clock()), freshAt_),
                alive = std::weak_ptr<bool>(alive_)]() -> Worker::Done {
-    const Written result = writeSnapshot(*disk, image);
+    const Written result = writeSnapshot(*disk, snapshot);
     return [this, alive, result] {
       if (!alive.expired()) compacted(result);
     };
@@ -81,7 +81,7 @@
 void ZoneSource::takeNext() {
   dns_zone::Zone zone = std::move(*next_);
   next_.reset();
-  take(std::move(zone), nextJudgement_);
+  take(std::move(zone), nextVerdict_);
 }
 
 }  // namespace peargrade::zone_server
--- a/src/zone_server/zonesource_updates.cpp
+++ b/src/zone_server/zonesource_updates.cpp
@@ -43,8 +43,8 @@
 
 void ZoneSource::onMessage(const std::string& message, const std::string& peer, Listener::Reply reply) {
   if (isNotify(message)) return onNotify(message, peer, reply);
-  if (!acceptor_) return;
-  const dns_zone::Acceptor::Taken taken = acceptor_->take(message, keys_, unixNow());
+  if (!processor_) return;
+  const dns_zone::UpdateProcessor::Taken taken = processor_->take(message, keys_, unixNow());
   if (taken.code == "accepted")
     ++counts_.accepted;
   else if (taken.code == "repeated")
@@ -59,7 +59,7 @@
 }
 
 // A flood of refusals is one line a second.
-void ZoneSource::refused(const dns_zone::Acceptor::Taken& taken, const std::string& peer) {
+void ZoneSource::refused(const dns_zone::UpdateProcessor::Taken& taken, const std::string& peer) {
   ++counts_.refused;
   const Micros now = around_.clock();
   if (refusedToldAt_ != 0 && now < refusedToldAt_ + kRefusedEvery) {
--- a/tests/dns_zone/master_test.cpp
+++ b/tests/dns_zone/master_test.cpp
@@ -1,17 +1,17 @@
 // Zone files: what they may hold, every mistake with its place, and that what is written reads back the same.
-#include "dns_zone/master.h"
-
 #include <gtest/gtest.h>
 
 #include <random>
 
+#include "dns_zone/master_file.h"
+
 namespace peargrade::dns_zone {
 namespace {
 
 using Files = std::map<std::string, std::string>;
 
 Reading read(const Files& files, const std::string& origin = "example.org") {
-  return readMaster("zone", origin, [&](const std::string& path, std::string& text, std::string& why) {
+  return readMasterFile("zone", origin, [&](const std::string& path, std::string& text, std::string& why) {
     const auto at = files.find(path);
     if (at == files.end()) {
       why = "no such file";
@@ -158,7 +158,7 @@
     }
     const Reading first = zoneOf(body);
     ASSERT_TRUE(first.mistakes.empty()) << first.mistakes[0].text();
-    const Reading again = read({{"zone", writeMaster(first.zone)}});
+    const Reading again = read({{"zone", writeMasterFile(first.zone)}});
     ASSERT_TRUE(again.mistakes.empty()) << again.mistakes[0].text();
     EXPECT_EQ(again.zone, first.zone);
   }
--- a/tests/dns_zone/update_test.cpp
+++ b/tests/dns_zone/update_test.cpp
@@ -7,8 +7,8 @@
 
 #include <random>
 
-#include "dns_zone/acceptor.h"
 #include "dns_zone/tsig.h"
+#include "dns_zone/update_processor.h"
 
 namespace peargrade::dns_zone {
 namespace {
@@ -196,7 +196,8 @@
     ASSERT_EQ(back.records(), before.records());
     redo(back, done.change);
     ASSERT_EQ(back, z) << round;
-    const auto step = decodeStep(encodeStep({done.change, {"k", "mac", 5, Rcode::NoError, kNow}}));
+    const auto step =
+        decodeJournalEntry(encodeJournalEntry({done.change, {"k", "mac", 5, Rcode::NoError, kNow}}));
     ASSERT_TRUE(step.has_value());
     Zone stored = before;
     redo(stored, step->change);
@@ -205,13 +206,13 @@
 }
 
 TEST(Image, ReadsBackTheSameAndDamageIsSeen) {
-  const std::string bytes = encodeImage(zone(), {{"k", "m", 3, Rcode::NoError, kNow}});
-  const auto image = decodeImage(bytes);
+  const std::string bytes = encodeSnapshot(zone(), {{"k", "m", 3, Rcode::NoError, kNow}});
+  const auto image = decodeSnapshot(bytes);
   ASSERT_TRUE(image.has_value());
   EXPECT_EQ(image->zone, zone());
   EXPECT_EQ(image->requests.at(0).until, kNow);
   for (std::size_t size = 0; size < bytes.size(); ++size)
-    EXPECT_FALSE(decodeImage(bytes.substr(0, size)).has_value());
+    EXPECT_FALSE(decodeSnapshot(bytes.substr(0, size)).has_value());
 }
 
 // ---- Signatures ----
@@ -346,8 +347,8 @@
 struct Accepting : testing::Test {
   const Key key = keyNamed("ops.example.org"), limited = keyNamed("deploy.example.org");
   Keys keys;
-  AcceptorSettings settings;
-  std::unique_ptr<Acceptor> acceptor;
+  UpdateProcessorSettings settings;
+  std::unique_ptr<UpdateProcessor> processor;
 
   Accepting() {
     keys.put(key);
@@ -356,8 +357,8 @@
                        {"deploy.example.org", kService, {Type::SRV}}};
     start(zone());
   }
-  void start(Zone z, std::vector<Remembered> requests = {}) {
-    acceptor = std::make_unique<Acceptor>(std::move(z), std::move(requests), settings);
+  void start(Zone z, std::vector<AnsweredRequest> requests = {}) {
+    processor = std::make_unique<UpdateProcessor>(std::move(z), std::move(requests), settings);
   }
   std::string request(const Script& s, const Key& with, std::int64_t at = kNow) {
     std::string mac;
@@ -367,85 +368,86 @@
 };
 
 TEST_F(Accepting, AnAnswerComesOnceTheChangeIsOnDisk) {
-  const auto taken = acceptor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow);
+  const auto taken = processor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow);
   ASSERT_FALSE(taken.answered) << taken.why;
-  EXPECT_FALSE(acceptor->durable().hasName(kNew));
-  ASSERT_TRUE(acceptor->waiting());
-  EXPECT_EQ(acceptor->begin().size(), 1u);
-  EXPECT_FALSE(acceptor->waiting());
-  const auto answers = acceptor->settled(true, keys, kNow);
+  EXPECT_FALSE(processor->durable().hasName(kNew));
+  ASSERT_TRUE(processor->waiting());
+  EXPECT_EQ(processor->begin().size(), 1u);
+  EXPECT_FALSE(processor->waiting());
+  const auto answers = processor->settled(true, keys, kNow);
   ASSERT_EQ(answers.size(), 1u);
   EXPECT_EQ(answers[0].ticket, taken.ticket);
   EXPECT_EQ(rcodeOfReply(answers[0].bytes), Rcode::NoError);
-  EXPECT_TRUE(acceptor->durable().hasName(kNew));
+  EXPECT_TRUE(processor->durable().hasName(kNew));
 }
 
 TEST_F(Accepting, ARepeatedRequestGetsTheFirstAnswerAndIsCarriedOutOnce) {
   const std::string add =
       request(Script().need(kNew, kTypeAny, kClassNone).add(kNew, Type::A, a("10.1.0.9")), key);
-  const auto first = acceptor->take(add, keys, kNow);
-  const auto again = acceptor->take(add, keys, kNow);
+  const auto first = processor->take(add, keys, kNow);
+  const auto again = processor->take(add, keys, kNow);
   EXPECT_EQ(again.code, "repeated");
   EXPECT_FALSE(again.answered) << "the first one is not on disk yet";
-  acceptor->begin();
-  EXPECT_EQ(acceptor->settled(true, keys, kNow).size(), 2u);
-  const auto late = acceptor->take(add, keys, kNow + 200);
+  processor->begin();
+  EXPECT_EQ(processor->settled(true, keys, kNow).size(), 2u);
+  const auto late = processor->take(add, keys, kNow + 200);
   EXPECT_TRUE(late.answered);
   EXPECT_EQ(late.code, "repeated");
   EXPECT_EQ(rcodeOfReply(late.answer), Rcode::NoError) << "though the prerequisite does not hold any more";
-  EXPECT_EQ(acceptor->durable().serial(), 8u);
+  EXPECT_EQ(processor->durable().serial(), 8u);
   // After a restart as well.
-  const auto image = decodeImage(acceptor->snapshot(kNow + 200));
+  const auto image = decodeSnapshot(processor->snapshot(kNow + 200));
   start(image->zone, image->requests);
-  EXPECT_EQ(acceptor->take(add, keys, kNow + 250).code, "repeated");
-  EXPECT_EQ(acceptor->take(add, keys, kNow + 301).code, "bad-time") << "then its signature is too old";
+  EXPECT_EQ(processor->take(add, keys, kNow + 250).code, "repeated");
+  EXPECT_EQ(processor->take(add, keys, kNow + 301).code, "bad-time") << "then its signature is too old";
 }
 
 // A captured request played over and over while it is on its way must not pile up.
 TEST_F(Accepting, RepeatsOfWhatIsOnItsWayAreBounded) {
   const std::string once = request(Script().add(kNew, Type::A, a("10.1.0.9")), key);
-  for (int k = 0; k < 1000; ++k) acceptor->take(once, keys, kNow);
-  const auto more = acceptor->take(once, keys, kNow);
+  for (int k = 0; k < 1000; ++k) processor->take(once, keys, kNow);
+  const auto more = processor->take(once, keys, kNow);
   EXPECT_TRUE(more.answered);
   EXPECT_TRUE(more.answer.empty());
-  acceptor->begin();
-  EXPECT_EQ(acceptor->settled(true, keys, kNow).size(), 8u);
+  processor->begin();
+  EXPECT_EQ(processor->settled(true, keys, kNow).size(), 8u);
 }
 
 TEST_F(Accepting, TwoUpdatesRacingOnOnePrerequisiteHaveOneWinner) {
-  const auto one = acceptor->take(
+  const auto one = processor->take(
       request(Script().need(kNew, kTypeAny, kClassNone).add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow);
-  const auto two = acceptor->take(
+  const auto two = processor->take(
       request(Script().need(kNew, kTypeAny, kClassNone).add(kNew, Type::A, a("10.1.0.8")), key), keys, kNow);
   EXPECT_FALSE(two.answered) << "it rests on what is not on disk yet";
-  EXPECT_EQ(acceptor->begin().size(), 1u);
-  const auto answers = acceptor->settled(true, keys, kNow);
+  EXPECT_EQ(processor->begin().size(), 1u);
+  const auto answers = processor->settled(true, keys, kNow);
   ASSERT_EQ(answers.size(), 2u);
   EXPECT_EQ(answers[0].ticket, one.ticket);
   EXPECT_EQ(rcodeOfReply(answers[0].bytes), Rcode::NoError);
   EXPECT_EQ(rcodeOfReply(answers[1].bytes), Rcode::YxDomain);
-  EXPECT_EQ(acceptor->durable().find(kNew, Type::A)->data.size(), 1u);
+  EXPECT_EQ(processor->durable().find(kNew, Type::A)->data.size(), 1u);
 }
 
 TEST_F(Accepting, WhatDidNotReachTheDiskIsTakenBackWithAllThatCameAfter) {
-  acceptor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow);
-  acceptor->begin();
-  acceptor->take(request(Script().change(kNew, kTypeAny, kClassAny).add(kService, Type::SRV, srv(kNew)), key),
-                 keys, kNow);
-  const auto answers = acceptor->settled(false, keys, kNow);
+  processor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow);
+  processor->begin();
+  processor->take(
+      request(Script().change(kNew, kTypeAny, kClassAny).add(kService, Type::SRV, srv(kNew)), key), keys,
+      kNow);
+  const auto answers = processor->settled(false, keys, kNow);
   ASSERT_EQ(answers.size(), 2u);
   for (const auto& answer : answers) EXPECT_EQ(rcodeOfReply(answer.bytes), Rcode::ServFail);
-  EXPECT_EQ(acceptor->zone(), zone());
-  EXPECT_EQ(acceptor->durable(), zone());
-  EXPECT_FALSE(acceptor->waiting());
+  EXPECT_EQ(processor->zone(), zone());
+  EXPECT_EQ(processor->durable(), zone());
+  EXPECT_FALSE(processor->waiting());
   // The same request again is a new try.
-  EXPECT_EQ(acceptor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow).code,
+  EXPECT_EQ(processor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key), keys, kNow).code,
             "accepted");
 }
 
 TEST_F(Accepting, KeysChangeOnlyWhatTheyWereGranted) {
   const auto code = [&](const Script& s, const Key& with) {
-    return acceptor->take(request(s, with), keys, kNow).code;
+    return processor->take(request(s, with), keys, kNow).code;
   };
   EXPECT_EQ(code(Script().add(kService, Type::SRV, srv(kNew)), limited), "accepted");
   EXPECT_EQ(code(Script().add(kNew, Type::A, a("10.1.0.9")), limited), "not-granted");
@@ -457,38 +459,38 @@
 
 TEST_F(Accepting, UnsignedAndWronglySignedUpdatesChangeNothing) {
   const std::string plain = encodeMessage(Script().add(kNew, Type::A, a("10.1.0.9")).m);
-  const auto bare = acceptor->take(plain, keys, kNow);
+  const auto bare = processor->take(plain, keys, kNow);
   EXPECT_EQ(bare.code, "unsigned");
   EXPECT_EQ(rcodeOfReply(bare.answer), Rcode::Refused);
   std::string mac;
   const std::string other =
       sign(plain, keyNamed("ops.example.org", Algorithm::HmacSha256, "wrong"), kNow, mac);
-  const auto wrong = acceptor->take(other, keys, kNow);
+  const auto wrong = processor->take(other, keys, kNow);
   EXPECT_EQ(wrong.code, "bad-signature");
   EXPECT_EQ(rcodeOfReply(wrong.answer), Rcode::NotAuth);
   const auto late =
-      acceptor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key, kNow - 1000), keys, kNow);
+      processor->take(request(Script().add(kNew, Type::A, a("10.1.0.9")), key, kNow - 1000), keys, kNow);
   EXPECT_EQ(late.code, "bad-time");
   EXPECT_TRUE(decodeMessage(late.answer)->tsigAt.has_value())
       << "signed, so that the clocks can be told apart";
-  EXPECT_EQ(acceptor->zone(), zone());
-  EXPECT_TRUE(acceptor->take("short", keys, kNow).answer.empty());
-  EXPECT_TRUE(acceptor->take(bare.answer, keys, kNow).answer.empty()) << "answers are not answered";
+  EXPECT_EQ(processor->zone(), zone());
+  EXPECT_TRUE(processor->take("short", keys, kNow).answer.empty());
+  EXPECT_TRUE(processor->take(bare.answer, keys, kNow).answer.empty()) << "answers are not answered";
 }
 
 TEST_F(Accepting, WhatWaitsAndWhatIsRememberedIsBounded) {
   settings.remembered = 5;
   start(zone());
   for (int k = 0; k < 8; ++k) {
-    const auto taken = acceptor->take(
+    const auto taken = processor->take(
         request(Script().add(kNew, Type::A, a("10.1.1." + std::to_string(k))), key), keys, kNow);
     EXPECT_EQ(taken.code, k < 5 ? "accepted" : "crowded") << k;
     if (taken.answered) continue;
-    acceptor->begin();
-    acceptor->settled(true, keys, kNow);
+    processor->begin();
+    processor->settled(true, keys, kNow);
   }
   EXPECT_EQ(
-      acceptor->take(request(Script().add(kNew, Type::A, a("10.1.1.9")), key, kNow + 400), keys, kNow + 400)
+      processor->take(request(Script().add(kNew, Type::A, a("10.1.1.9")), key, kNow + 400), keys, kNow + 400)
           .code,
       "accepted")
       << "room again once the old ones cannot be sent again";
@@ -504,11 +506,11 @@
       bytes[at] = static_cast<char>(bytes[at] ^ (1 + random() % 255));
     }
     if (random() % 4 == 0) bytes.resize(random() % bytes.size());
-    const auto taken = acceptor->take(bytes, keys, kNow);
+    const auto taken = processor->take(bytes, keys, kNow);
     EXPECT_TRUE(taken.answered || taken.code == "accepted" || taken.code == "repeated") << taken.code;
   }
   // The letters of names may change on the way: that is the same update, carried out once.
-  EXPECT_LE(acceptor->zone().serial(), 8u);
+  EXPECT_LE(processor->zone().serial(), 8u);
 }
 
 }  // namespace
--- a/tests/zone_server/follow_test.cpp
+++ b/tests/zone_server/follow_test.cpp
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <random>
 
-#include "dns_zone/master.h"
+#include "dns_zone/master_file.h"
 #include "sources/sources.h"
 #include "standins/primary.h"
 #include "support/loop.h"
@@ -27,7 +27,7 @@
     text += "_o._tcp SRV 0 10 3000 " + host + "\n" + host + " A 10.1.0." + std::to_string(k) + "\n";
   }
   const auto r =
-      dns_zone::readMaster("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
+      dns_zone::readMasterFile("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
         out = text;
         return true;
       });
--- a/tests/zone_server/zones_test.cpp
+++ b/tests/zone_server/zones_test.cpp
@@ -36,7 +36,7 @@
 
 dns_zone::Zone read(const std::string& text) {
   const auto r =
-      dns_zone::readMaster("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
+      dns_zone::readMasterFile("z", "example.org", [&](const std::string&, std::string& out, std::string&) {
         out = text;
         return true;
       });
