zone_server: transfer client, update script, key file, zone observation; commands

Follower, Offer, readScript and the ...Asked structs become TransferClient, ZoneObservation, readUpdateScript and ZoneCommand, LookupCommand, ExplainCommand; files go with them.

--- a/bench/zone_bench.cpp
+++ b/bench/zone_bench.cpp
@@ -16,7 +16,7 @@
 #include "standins/relay.h"
 #include "support/loop.h"
 #include "support/program.h"
-#include "zone_server/script.h"
+#include "zone_server/update_script.h"
 
 namespace peargrade {
 namespace {
@@ -44,7 +44,7 @@
 
 std::string request(const std::string& script, std::uint16_t id, std::int64_t now) {
   std::vector<std::string> problems;
-  dns_zone::Message m = zone_server::readScript(script, "s", "example.org", problems);
+  dns_zone::Message m = zone_server::readUpdateScript(script, "s", "example.org", problems);
   m.id = id;
   std::string mac;
   return dns_zone::sign(dns_zone::encodeMessage(m), key(), now, mac);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -74,7 +74,7 @@
   CLI::App* version = app.add_subcommand("version", "print the version");
   CLI::App* srv = app.add_subcommand("srv", "SRV records");
   srv->require_subcommand(1);
-  peargrade::sources::LookupAsked lookupAsked;
+  peargrade::sources::LookupCommand lookupAsked;
   CLI::App* lookup = srv->add_subcommand("lookup", "look a service up: answers, lifetimes, steps taken");
   lookup->add_option("name", lookupAsked.name, "such as _orders._tcp.example.org")->required();
   lookup->add_option("--server", lookupAsked.servers, "a name server, 127.0.0.1:53; may stand several times")
@@ -82,14 +82,14 @@
   lookup->add_flag("--json", lookupAsked.json, "as JSON");
   CLI::App* sourcesOf = app.add_subcommand("sources", "where the list of servers comes from");
   sourcesOf->require_subcommand(1);
-  peargrade::sources::ExplainAsked explainAsked;
+  peargrade::sources::ExplainCommand explainAsked;
   CLI::App* explain = withConfig(sourcesOf->add_subcommand(
       "explain", "ask every source once: who says what of each server, which rule decides, until when"));
   explain->add_flag("--json", explainAsked.json, "as JSON");
 
   CLI::App* zone = app.add_subcommand("zone", "zone files and updates");
   zone->require_subcommand(1);
-  peargrade::sources::ZoneAsked zoneAsked;
+  peargrade::sources::ZoneCommand zoneAsked;
   const auto zoneCommand = [&](const char* verb, const char* says) {
     CLI::App* command = zone->add_subcommand(verb, says);
     command->callback([&zoneAsked, verb] { zoneAsked.verb = verb; });
--- a/src/sources/commands.cpp
+++ b/src/sources/commands.cpp
@@ -173,7 +173,7 @@
 
 }  // namespace
 
-int lookup(const LookupAsked& asked, log::Log& log) {
+int lookup(const LookupCommand& asked, log::Log& log) {
   dns::Settings settings;
   for (const std::string& server : asked.servers) {
     const auto address = net::Address::parse(server);
@@ -205,7 +205,8 @@
                                                        : 1;
 }
 
-int explain(const ExplainAsked& asked, const op::Operator& op, const discovery::Names& names, log::Log& log) {
+int explain(const ExplainCommand& asked, const op::Operator& op, const discovery::Names& names,
+            log::Log& log) {
   const net::EventBase base = net::makeBase();
   exchange::Exchange exchange;
   const ListNews known;
--- a/src/sources/commands.h
+++ b/src/sources/commands.h
@@ -6,7 +6,8 @@
 namespace peargrade::sources {
 
 // Exit codes: 0 complete, 1 failed, 2 wrong words, 3 partial.
-int lookup(const LookupAsked& asked, log::Log& log);
-int explain(const ExplainAsked& asked, const op::Operator& op, const discovery::Names& names, log::Log& log);
+int lookup(const LookupCommand& asked, log::Log& log);
+int explain(const ExplainCommand& asked, const op::Operator& op, const discovery::Names& names,
+            log::Log& log);
 
 }  // namespace peargrade::sources
--- a/src/sources/front.h
+++ b/src/sources/front.h
@@ -40,14 +40,14 @@
   virtual void explain() = 0;
 };
 
-using zone_server::ZoneAsked;
-struct LookupAsked {
+using zone_server::ZoneCommand;
+struct LookupCommand {
   std::string name;
   std::vector<std::string> servers;
   bool json = false;
   Micros within = 6000000;
 };
-struct ExplainAsked {
+struct ExplainCommand {
   std::string discovery;  // address; "": the roster is left out
   bool json = false;
   Micros within = 10000000;
@@ -58,9 +58,9 @@
 struct Module {
   const char* build;
   std::unique_ptr<Front> (*open)(const Surroundings&);
-  int (*lookup)(const LookupAsked&, log::Log&);
-  int (*explain)(const ExplainAsked&, const op::Operator&, const discovery::Names&, log::Log&);
-  int (*zone)(const ZoneAsked&, log::Log&);
+  int (*lookup)(const LookupCommand&, log::Log&);
+  int (*explain)(const ExplainCommand&, const op::Operator&, const discovery::Names&, log::Log&);
+  int (*zone)(const ZoneCommand&, log::Log&);
 };
 inline constexpr char kEntry[] = "peargrade_sources_module";
 inline constexpr char kFile[] = "peargrade_sources.so";
--- a/src/sources/sources.h
+++ b/src/sources/sources.h
@@ -11,7 +11,7 @@
 #include "net/net.h"
 #include "sources/front.h"
 #include "sources/view.h"
-#include "zone_server/zonesource.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::sources {
 
--- a/src/zone_server/commands.cpp
+++ b/src/zone_server/commands.cpp
@@ -19,8 +19,8 @@
 #include "net/datagram.h"
 #include "net/net.h"
 #include "zone_server/disk.h"
-#include "zone_server/keyfile.h"
-#include "zone_server/script.h"
+#include "zone_server/key_file.h"
+#include "zone_server/update_script.h"
 
 namespace peargrade::zone_server {
 namespace {
@@ -36,7 +36,7 @@
   out.String(value.c_str(), static_cast<rapidjson::SizeType>(value.size()));
 }
 
-dns_zone::Reading readFile(const ZoneAsked& asked, const std::string& file) {
+dns_zone::Reading readFile(const ZoneCommand& asked, const std::string& file) {
   std::string folder = asked.folder, name = file;
   if (folder.empty()) {
     const auto slash = file.rfind('/');
@@ -78,7 +78,7 @@
   out.EndArray();
 }
 
-int check(const ZoneAsked& asked) {
+int check(const ZoneCommand& asked) {
   const dns_zone::Reading r = readFile(asked, asked.files[0]);
   if (asked.json) {
     rapidjson::OStreamWrapper stream(std::cout);
@@ -104,7 +104,7 @@
   return r.mistakes.empty() ? 0 : 1;
 }
 
-int show(const ZoneAsked& asked) {
+int show(const ZoneCommand& asked) {
   const dns_zone::Reading r = readFile(asked, asked.files[0]);
   for (const dns_zone::Mistake& m : r.mistakes) std::cerr << m.text() << '\n';
   if (!r.mistakes.empty()) return 1;
@@ -124,7 +124,7 @@
   return 0;
 }
 
-int diff(const ZoneAsked& asked) {
+int diff(const ZoneCommand& asked) {
   const dns_zone::Reading from = readFile(asked, asked.files[0]), to = readFile(asked, asked.files[1]);
   for (const dns_zone::Reading* r : {&from, &to}) {
     for (const dns_zone::Mistake& m : r->mistakes) std::cerr << m.text() << '\n';
@@ -222,12 +222,12 @@
 };
 
 // From the files that the command line names; nothing, with a line on standard error for each problem.
-std::optional<SignedUpdate> signedUpdate(const ZoneAsked& asked) {
+std::optional<SignedUpdate> signedUpdate(const ZoneCommand& asked) {
   std::vector<std::string> problems;
   SignedUpdate update;
   update.keys = readKeys(asked.key, problems);
   const std::string script = readInput(asked.files[0], problems);
-  dns_zone::Message m = readScript(script, asked.files[0], asked.origin, problems);
+  dns_zone::Message m = readUpdateScript(script, asked.files[0], asked.origin, problems);
   const dns_zone::Key* key = asked.label.empty() ? update.keys.only() : update.keys.find(asked.label);
   if (problems.empty() && key == nullptr) problems.push_back("--name has to say which key of " + asked.key);
   for (const std::string& p : problems) std::cerr << "peargrade: " << p << '\n';
@@ -258,7 +258,7 @@
   return decoded;
 }
 
-int update(const ZoneAsked& asked) {
+int update(const ZoneCommand& asked) {
   const auto server = net::Address::parse(asked.server);
   if (!server) {
     std::cerr << "peargrade: '" << asked.server << "' is no address of the form 127.0.0.1:5300\n";
@@ -297,7 +297,7 @@
 }
 
 // Left in the folder of the state, where the supervisor finds it when it looks at the zone file next.
-int accept(const ZoneAsked& asked) {
+int accept(const ZoneCommand& asked) {
   const std::string path = acceptMarkerPath(asked.state, asked.label);
   std::ofstream out(path, std::ios::trunc);
   out << asked.serial << '\n';
@@ -312,7 +312,7 @@
 
 }  // namespace
 
-int command(const ZoneAsked& asked, log::Log&) {
+int command(const ZoneCommand& asked, log::Log&) {
   if (asked.verb == "check") return check(asked);
   if (asked.verb == "show") return show(asked);
   if (asked.verb == "diff") return diff(asked);
--- a/src/zone_server/commands.h
+++ b/src/zone_server/commands.h
@@ -10,7 +10,7 @@
 namespace peargrade::zone_server {
 
 // One command line of `peargrade zone`.
-struct ZoneAsked {
+struct ZoneCommand {
   std::string verb;  // check, show, diff, update, accept
   std::vector<std::string> files;
   std::string origin, folder, server, key, state, label;
@@ -21,6 +21,6 @@
 
 // check: 0 good, 1 mistakes. show: 0, 1 mistakes. diff: 0 the same, 1 different, 2 cannot be read. update: 0
 // accepted, 1 refused, 3 no answer. accept: 0 noted, 1 not. Wrong words: 2.
-int command(const ZoneAsked& asked, log::Log& log);
+int command(const ZoneCommand& asked, log::Log& log);
 
 }  // namespace peargrade::zone_server
--- a/src/zone_server/keyfile.cpp
+++ b/src/zone_server/key_file.cpp
@@ -1,4 +1,4 @@
-#include "zone_server/keyfile.h"
+#include "zone_server/key_file.h"
 
 #include <fcntl.h>
 #include <openssl/crypto.h>
--- a/src/zone_server/follower.cpp
+++ b/src/zone_server/transfer_client.cpp
@@ -1,4 +1,4 @@
-#include "zone_server/follower.h"
+#include "zone_server/transfer_client.h"
 
 #include <algorithm>
 #include <random>
@@ -19,9 +19,9 @@
 
 }  // namespace
 
-Follower::Follower(event_base* base, const std::string& label, const std::string& origin,
-                   std::vector<net::Address> primaries, std::function<Micros()> clock, log::Log& log,
-                   Limits limits, Handlers handlers)
+TransferClient::TransferClient(event_base* base, const std::string& label, const std::string& origin,
+                               std::vector<net::Address> primaries, std::function<Micros()> clock,
+                               log::Log& log, Limits limits, Handlers handlers)
     : base_(base),
       label_(label),
       origin_(origin),
@@ -42,15 +42,15 @@
         failed("it took too long");
       }) {}
 
-Follower::~Follower() { close(log::Reason::Stopping); }
+TransferClient::~TransferClient() { close(log::Reason::Stopping); }
 
-void Follower::begin(Micros freshAt) {
+void TransferClient::begin(Micros freshAt) {
   const dns_zone::Zone* held = handlers_.held();
   carryOut(secondary_.begin(held == nullptr ? std::nullopt : std::optional<dns_zone::Soa>(held->soa()),
                             freshAt, clock_()));
 }
 
-bool Follower::notified(const std::string& host) {
+bool TransferClient::notified(const std::string& host) {
   const auto at = std::find_if(primaries_.begin(), primaries_.end(),
                                [&](const net::Address& a) { return a.host == host; });
   if (at == primaries_.end()) return false;
@@ -60,7 +60,7 @@
   return true;
 }
 
-void Follower::carryOut(const dns_zone::Secondary::Step& step) {
+void TransferClient::carryOut(const dns_zone::Secondary::Step& step) {
   step_ = step;
   due_.cancel();
   switch (step.what) {
@@ -73,7 +73,7 @@
   }
 }
 
-void Follower::askSoa() {
+void TransferClient::askSoa() {
   ++counts_.soas;
   id_ = static_cast<std::uint16_t>(drawn());
   net::Datagram::Handlers handlers;
@@ -92,7 +92,7 @@
   udp_->send(dns_zone::encodeMessage(m));
 }
 
-void Follower::onSoa(const std::string& bytes) {
+void TransferClient::onSoa(const std::string& bytes) {
   const auto m = dns_zone::decodeMessage(bytes);
   // Not the answer: the wait for that goes on.
   if (!m || !m->response || m->id != id_ || !m->hasQuestion || m->name != origin_) return;
@@ -110,7 +110,7 @@
   failed(std::string("no SOA: ") + dns_zone::nameOf(m->rcode));
 }
 
-void Follower::transfer() {
+void TransferClient::transfer() {
   transfer_ = std::make_unique<dns_zone::Transfer>(origin_, step_.whole ? nullptr : handlers_.held(),
                                                    limits_.records);
   ++(step_.whole ? counts_.whole : counts_.changes);
@@ -131,7 +131,7 @@
   whole_.in(limits_.whole);
 }
 
-void Follower::onTransfer(evbuffer* input) {
+void TransferClient::onTransfer(evbuffer* input) {
   const std::size_t size = evbuffer_get_length(input), had = input_.size();
   input_.resize(had + size);
   evbuffer_remove(input, input_.data() + had, size);
@@ -172,7 +172,7 @@
   input_.erase(0, done);
 }
 
-void Follower::failed(const std::string& why) {
+void TransferClient::failed(const std::string& why) {
   ++counts_.failed;
   // Told at the 1st, 2nd, 4th, 8th ... in a row.
   const int before = secondary_.failures();
@@ -182,7 +182,7 @@
   carryOut(secondary_.failed(clock_()));
 }
 
-void Follower::close(log::Reason reason) {
+void TransferClient::close(log::Reason reason) {
   wait_.cancel();
   whole_.cancel();
   udp_.reset();
--- a/src/zone_server/follower.h
+++ b/src/zone_server/transfer_client.h
@@ -14,7 +14,7 @@
 
 namespace peargrade::zone_server {
 
-class Follower {
+class TransferClient {
  public:
   struct Limits {
     Micros soa = 1000000;      // an answer over UDP
@@ -28,10 +28,10 @@
     std::function<bool(const dns_zone::Zone&)> came;
     std::function<void()> fresh;  // what is held is as new as the primary's, or has a new end
   };
-  Follower(event_base* base, const std::string& label, const std::string& origin,
-           std::vector<net::Address> primaries, std::function<Micros()> clock, log::Log& log, Limits limits,
-           Handlers handlers);
-  ~Follower();
+  TransferClient(event_base* base, const std::string& label, const std::string& origin,
+                 std::vector<net::Address> primaries, std::function<Micros()> clock, log::Log& log,
+                 Limits limits, Handlers handlers);
+  ~TransferClient();
 
   void begin(Micros freshAt);
   // A NOTIFY from this host (any port of it): false where it is no primary of ours.
--- a/src/zone_server/script.cpp
+++ b/src/zone_server/update_script.cpp
@@ -1,4 +1,4 @@
-#include "zone_server/script.h"
+#include "zone_server/update_script.h"
 
 #include <algorithm>
 #include <sstream>
@@ -33,9 +33,9 @@
   return words;
 }
 
-class Script {
+class UpdateScriptReader {
  public:
-  Script(const std::string& file, const std::string& origin, std::vector<std::string>& problems)
+  UpdateScriptReader(const std::string& file, const std::string& origin, std::vector<std::string>& problems)
       : file_(file), origin_(origin), problems_(problems) {}
 
   // Reads one line into the update `m`.
@@ -147,14 +147,14 @@
 
 }  // namespace
 
-dns_zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
-                             std::vector<std::string>& problems) {
+dns_zone::Message readUpdateScript(const std::string& text, const std::string& file,
+                                   const std::string& origin, std::vector<std::string>& problems) {
   dns_zone::Message m;
   m.opcode = dns_zone::Opcode::Update;
   m.hasQuestion = true;
   m.name = origin;
   m.type = static_cast<std::uint16_t>(dns_zone::Type::SOA);
-  Script script(file, origin, problems);
+  UpdateScriptReader script(file, origin, problems);
   std::istringstream in(text);
   std::size_t number = 0;
   for (std::string line; std::getline(in, line);) {
--- a/src/zone_server/script.h
+++ b/src/zone_server/update_script.h
@@ -15,7 +15,7 @@
 namespace peargrade::zone_server {
 
 // The update without an id. `problems`: a line for each mistake, with file, line and column.
-dns_zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
-                             std::vector<std::string>& problems);
+dns_zone::Message readUpdateScript(const std::string& text, const std::string& file,
+                                   const std::string& origin, std::vector<std::string>& problems);
 
 }  // namespace peargrade::zone_server
--- a/src/zone_server/offer.cpp
+++ b/src/zone_server/zone_observation.cpp
@@ -1,4 +1,4 @@
-#include "zone_server/offer.h"
+#include "zone_server/zone_observation.h"
 
 #include <algorithm>
 
@@ -75,13 +75,13 @@
 }
 
 // Collects the servers of a zone, target by target.
-struct Offering {
+struct ServerCollector {
   const dns_zone::Zone& zone;
   const locality::Places& places;
   const discovery::Names& names;
   const Micros until;
   const std::set<std::string>& drained;
-  Offer& offer;
+  ZoneObservation& offer;
 
   void target(const dns_zone::Srv& srv) {
     const std::string host = resolved(zone, srv.target);
@@ -142,20 +142,20 @@
   }
 }
 
-Offer offerOf(const dns_zone::Zone& zone, const std::vector<std::string>& services,
-              const locality::Places& places, const discovery::Names& names, std::size_t source, Micros asOf,
-              Micros until, const std::set<std::string>& drained) {
-  Offer offer;
+ZoneObservation observeZone(const dns_zone::Zone& zone, const std::vector<std::string>& services,
+                            const locality::Places& places, const discovery::Names& names, std::size_t source,
+                            Micros asOf, Micros until, const std::set<std::string>& drained) {
+  ZoneObservation offer;
   offer.observation.kind = membership::Observation::Kind::Complete;
   offer.observation.source = source;
   offer.observation.asOf = asOf;
-  Offering offering{zone, places, names, until, drained, offer};
+  ServerCollector collector{zone, places, names, until, drained, offer};
   for (const std::string& service : services) {
     const dns_zone::Zone::Set* set = zone.find(service, dns_zone::Type::SRV);
     if (set == nullptr) continue;
     for (const std::string& data : set->data) {
       const auto srv = dns_zone::srvOf(data);
-      if (srv && !srv->target.empty()) offering.target(*srv);
+      if (srv && !srv->target.empty()) collector.target(*srv);
     }
   }
   return offer;
--- a/src/zone_server/offer.h
+++ b/src/zone_server/zone_observation.h
@@ -17,15 +17,15 @@
 // Attributes stand in TXT records at the name of a target, one text each: "state=draining" (or ready),
 // "zone=east", "kind=m1", "pod-group=3", "started=1764600000123" (Unix milliseconds). What is not understood
 // is left out and told. `drained`: names that count as draining whatever the zone says now.
-struct Offer {
+struct ZoneObservation {
   membership::Observation observation;
   std::set<std::string> endpoints;
   std::vector<std::string> notes;
 };
 
-Offer offerOf(const dns_zone::Zone& zone, const std::vector<std::string>& services,
-              const locality::Places& places, const discovery::Names& names, std::size_t source, Micros asOf,
-              Micros until, const std::set<std::string>& drained = {});
+ZoneObservation observeZone(const dns_zone::Zone& zone, const std::vector<std::string>& services,
+                            const locality::Places& places, const discovery::Names& names, std::size_t source,
+                            Micros asOf, Micros until, const std::set<std::string>& drained = {});
 
 // The targets that a change added a record of, with its time.
 void addTargets(const dns_zone::Difference& change, Micros at, std::map<std::string, Micros>& targets);
--- a/src/zone_server/zonesource.cpp
+++ b/src/zone_server/zone_source.cpp
@@ -1,4 +1,4 @@
-#include "zone_server/zonesource.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::zone_server {
 
@@ -66,7 +66,7 @@
   dns_zone::Zone zone = std::move(stored.snapshot->zone);
   std::vector<dns_zone::AnsweredRequest> requests = std::move(stored.snapshot->requests);
   const auto offered = [&] {
-    return offerOf(zone, op_.services, places_, *around_.names, number_, 0, kForEver);
+    return observeZone(zone, op_.services, places_, *around_.names, number_, 0, kForEver);
   };
   std::vector<dns_zone::EndpointSince> firstSeen = std::move(stored.snapshot->firstSeen);
   std::set<std::string> there = offered().endpoints;
--- a/src/zone_server/zonesource.h
+++ b/src/zone_server/zone_source.h
@@ -11,10 +11,10 @@
 #include "dns_zone/update_processor.h"
 #include "zone_server/context.h"
 #include "zone_server/disk.h"
-#include "zone_server/follower.h"
 #include "zone_server/listener.h"
-#include "zone_server/offer.h"
+#include "zone_server/transfer_client.h"
 #include "zone_server/worker.h"
+#include "zone_server/zone_observation.h"
 
 namespace peargrade::zone_server {
 
@@ -40,7 +40,7 @@
     std::uint64_t accepted = 0, repeated = 0, refused = 0, batches = 0, failedBatches = 0, compactions = 0;
   };
   const Counts& counts() const { return counts_; }
-  const Follower* follower() const { return follower_.get(); }
+  const TransferClient* transferClient() const { return transferClient_.get(); }
 
  private:
   static constexpr Micros kForEver =
@@ -54,26 +54,26 @@
   void restore(StoredZone& stored);
   dns_zone::Zone emptyZone() const;
   void take(dns_zone::Zone zone, dns_zone::SerialVerdict verdict);
-  // ---- zonesource_file.cpp: the zone file ----
+  // ---- zone_source_file.cpp: the zone file ----
   void look(bool always);
   void looked(const FileReading& found);
   void tellMistakes(const std::vector<dns_zone::Mistake>& mistakes);
-  // ---- zonesource_primary.cpp: transfers and notices ----
+  // ---- zone_source_primary.cpp: transfers and notices ----
   void follow();
   bool came(const dns_zone::Zone& zone);
   void fresh();
   void onNotify(const std::string& message, const std::string& peer, const Listener::Reply& reply);
-  // ---- zonesource_updates.cpp: dynamic updates ----
+  // ---- zone_source_updates.cpp: dynamic updates ----
   void listen();
   void onMessage(const std::string& message, const std::string& peer, Listener::Reply reply);
   void refused(const dns_zone::UpdateProcessor::Taken& taken, const std::string& peer);
-  // ---- zonesource_store.cpp: batches and snapshots ----
+  // ---- zone_source_store.cpp: batches and snapshots ----
   void writeNext();
   void written(const files::Outcome& outcome);
   void compact();
   void compacted(const Written& result);
   void takeNext();
-  // ---- zonesource_publish.cpp: what the membership is told ----
+  // ---- zone_source_publish.cpp: what the membership is told ----
   void publish();
   void tellNotes(const std::vector<std::string>& all);
   std::int64_t unixNow() const { return around_.clock() / 1000000; }
@@ -94,7 +94,7 @@
   bool published_ = false;
   dns_zone::Keys keys_;
   std::unique_ptr<Listener> listener_;
-  std::unique_ptr<Follower> follower_;
+  std::unique_ptr<TransferClient> transferClient_;
   Micros freshAt_ = 0, freshStored_ = 0;  // of the primary's word, and as the store has it
   std::map<dns_zone::UpdateProcessor::Ticket, Listener::Reply> waiting_;
   net::Timer watch_, publishSoon_, retry_, listenAgain_;
--- a/src/zone_server/zonesource_file.cpp
+++ b/src/zone_server/zone_source_file.cpp
@@ -1,7 +1,7 @@
 // ZoneSource and its zone file: watched, read on the worker, taken in by its serial.
 #include <cstdio>
 
-#include "zone_server/zonesource.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::zone_server {
 
--- a/src/zone_server/zonesource_primary.cpp
+++ b/src/zone_server/zone_source_primary.cpp
@@ -1,18 +1,19 @@
 // ZoneSource as a secondary: transfers taken in, NOTIFY messages answered (RFC 1996).
 #include <cstdio>
 
-#include "zone_server/zonesource.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::zone_server {
 
 void ZoneSource::follow() {
-  Follower::Handlers handlers;
+  TransferClient::Handlers handlers;
   handlers.held = [this] { return zone(); };
   handlers.came = [this](const dns_zone::Zone& zone) { return came(zone); };
   handlers.fresh = [this] { fresh(); };
-  follower_ = std::make_unique<Follower>(around_.base, op_.label, op_.origin, op_.primaries, around_.clock,
-                                         *around_.log, Follower::Limits{}, std::move(handlers));
-  follower_->begin(freshAt_);
+  transferClient_ =
+      std::make_unique<TransferClient>(around_.base, op_.label, op_.origin, op_.primaries, around_.clock,
+                                       *around_.log, TransferClient::Limits{}, std::move(handlers));
+  transferClient_->begin(freshAt_);
 }
 
 bool ZoneSource::came(const dns_zone::Zone& zone) {
@@ -54,8 +55,8 @@
   answer.hasQuestion = m->hasQuestion;
   answer.name = m->name;
   answer.type = m->type;
-  const bool ours = follower_ && m->hasQuestion && m->name == op_.origin &&
-                    follower_->notified(peer.substr(0, peer.rfind(':')));
+  const bool ours = transferClient_ && m->hasQuestion && m->name == op_.origin &&
+                    transferClient_->notified(peer.substr(0, peer.rfind(':')));
   if (!ours) {
     answer.rcode = dns_zone::Rcode::Refused;
     around_.log->debug("zones") << op_.label << ": notice of " << peer << " refused";
--- a/src/zone_server/zonesource_publish.cpp
+++ b/src/zone_server/zone_source_publish.cpp
@@ -1,5 +1,5 @@
 // ZoneSource and the membership: the servers that the zone offers now, each with the time since when it does.
-#include "zone_server/zonesource.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::zone_server {
 
@@ -7,9 +7,10 @@
   if (!processor_) return;
   const Micros now = around_.clock();
   const auto offered = [&](const std::set<std::string>& drained) {
-    const Micros until = follower_ && follower_->expiresAt() != 0 ? follower_->expiresAt() : kForEver;
-    return offerOf(processor_->durable(), op_.services, places_, *around_.names, number_, now, until,
-                   drained);
+    const Micros until =
+        transferClient_ && transferClient_->expiresAt() != 0 ? transferClient_->expiresAt() : kForEver;
+    return observeZone(processor_->durable(), op_.services, places_, *around_.names, number_, now, until,
+                       drained);
   };
   const auto aged = [&](membership::Observation o) {
     for (membership::Sighting& s : o.seen) {
@@ -19,7 +20,7 @@
     }
     return o;
   };
-  const Offer offer = offered({});
+  const ZoneObservation offer = offered({});
   firstSeen_.keep(offer.endpoints);
   // A drain that was taken back within the same burst was a drain all the same: it ends with a new start
   // only.
--- a/src/zone_server/zonesource_store.cpp
+++ b/src/zone_server/zone_source_store.cpp
@@ -1,7 +1,7 @@
 // ZoneSource and its store: batches of accepted updates appended, the journal compacted into a snapshot.
 #include <algorithm>
 
-#include "zone_server/zonesource.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::zone_server {
 namespace {
--- a/src/zone_server/zonesource_updates.cpp
+++ b/src/zone_server/zone_source_updates.cpp
@@ -1,6 +1,6 @@
 // ZoneSource and dynamic updates (RFC 2136): keys, the address that takes messages, and what becomes of each.
-#include "zone_server/keyfile.h"
-#include "zone_server/zonesource.h"
+#include "zone_server/key_file.h"
+#include "zone_server/zone_source.h"
 
 namespace peargrade::zone_server {
 namespace {
--- a/tests/zone_server/follow_test.cpp
+++ b/tests/zone_server/follow_test.cpp
@@ -151,9 +151,9 @@
       primary.dieAfter = 2;
       primary.publish(zoneOf(next, static_cast<int>(next) % 3, static_cast<int>(10 + next)));
       const dns_zone::Zone before = *site.zone().zone();
-      const auto failed = site.zone().follower()->counts().failed;
+      const auto failed = site.zone().transferClient()->counts().failed;
       tell();
-      ASSERT_TRUE(loop.until([&] { return site.zone().follower()->counts().failed > failed; }));
+      ASSERT_TRUE(loop.until([&] { return site.zone().transferClient()->counts().failed > failed; }));
       EXPECT_EQ(*site.zone().zone(), before);
       primary.dieAfter = -1;
       ASSERT_TRUE(serial(next)) << "tried again";
@@ -170,7 +170,7 @@
   tell();
   ASSERT_TRUE(serial(2));
   EXPECT_EQ(primary.axfrs, 2);
-  EXPECT_EQ(site.zone().follower()->counts().unfit, 1u);
+  EXPECT_EQ(site.zone().transferClient()->counts().unfit, 1u);
   EXPECT_EQ(*site.zone().zone(), primary.zone());
 }
 
--- a/tests/zone_server/zones_test.cpp
+++ b/tests/zone_server/zones_test.cpp
@@ -11,8 +11,8 @@
 #include "dns_zone/update.h"
 #include "sources/sources.h"
 #include "support/loop.h"
-#include "zone_server/keyfile.h"
-#include "zone_server/script.h"
+#include "zone_server/key_file.h"
+#include "zone_server/update_script.h"
 
 namespace peargrade::zone_server {
 namespace {
@@ -50,14 +50,14 @@
   return p;
 }
 
-TEST(Offer, ServersComeWithTheAttributesOfTheirTexts) {
+TEST(ZoneObservation, ServersComeWithTheAttributesOfTheirTexts) {
   const dns_zone::Zone z = read(zoneText(
       1, servers(1, 3) +
              "bello-1 TXT \"state=draining\" \"zone=b\" \"pod-group=4\"\n"
              "bello-2 TXT \"started=1764600000123\" \"kind=m2\" \"colour=red\"\n"
              "_o._tcp SRV 5 0 3000 alias\nalias CNAME bello-2\n_o._tcp SRV 0 0 3000 far.example.net.\n"));
-  const Offer offer = offerOf(z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()),
-                              testNames(), 2, 7, 99);
+  const ZoneObservation offer = observeZone(
+      z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()), testNames(), 2, 7, 99);
   const auto& o = offer.observation;
   EXPECT_EQ(o.source, 2u);
   ASSERT_EQ(o.seen.size(), 3u);
@@ -79,11 +79,11 @@
   ASSERT_EQ(offer.notes.size(), 3u);
 }
 
-TEST(Offer, OfTwoWordsOnAStateTheCarefulOneHolds) {
+TEST(ZoneObservation, OfTwoWordsOnAStateTheCarefulOneHolds) {
   for (const char* texts : {"\"state=ready\" \"state=draining\"", "\"state=draining\" \"state=ready\""}) {
     const dns_zone::Zone z = read(zoneText(1, servers(1, 2) + "bello-1 TXT " + texts + "\n"));
-    const auto o = offerOf(z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()),
-                           testNames(), 0, 1, 9);
+    const auto o = observeZone(z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()),
+                               testNames(), 0, 1, 9);
     EXPECT_EQ(o.observation.seen.at(0).state, ServerState::Draining);
   }
 }
@@ -122,9 +122,9 @@
   EXPECT_GT(refused, 1000);
 }
 
-TEST(Script, LinesBecomePrerequisitesAndChanges) {
+TEST(UpdateScriptReader, LinesBecomePrerequisitesAndChanges) {
   std::vector<std::string> problems;
-  const auto m = readScript(
+  const auto m = readUpdateScript(
       "# a new server\nneed-not bello-9\nneed _o._tcp SRV\nneed bello-1 A 10.1.0.1\n"
       "add bello-9 60 A 10.1.0.9\nadd bello-9 60 TXT \"state=ready\" \"a \\\"b\\\"\"\n"
       "add _o._tcp 60 SRV 0 10 3000 bello-9\ndelete bello-1 A 10.1.0.1\ndelete bello-2\ndelete bello-3 A\n",
@@ -149,7 +149,7 @@
       {"", "s:1:1: found nothing to do, expected need, need-not, add or delete"}};
   for (const auto& [text, says] : wrong) {
     problems.clear();
-    readScript(text, "s", "example.org", problems);
+    readUpdateScript(text, "s", "example.org", problems);
     ASSERT_EQ(problems.size(), 1u) << text;
     EXPECT_EQ(problems[0], says);
   }
@@ -284,7 +284,7 @@
   }
   std::string request(const std::string& script, const dns_zone::Key& with) {
     std::vector<std::string> problems;
-    dns_zone::Message m = readScript(script, "s", "example.org", problems);
+    dns_zone::Message m = readUpdateScript(script, "s", "example.org", problems);
     EXPECT_TRUE(problems.empty()) << problems.at(0);
     m.id = ++id;
     std::string mac;
@@ -431,7 +431,7 @@
   EXPECT_EQ(update(add(1)), 0);
   Client flood(loop.base.get(), *sources->zones().front().address());
   std::vector<std::string> problems;
-  dns_zone::Message m = readScript(add(9), "s", "example.org", problems);
+  dns_zone::Message m = readUpdateScript(add(9), "s", "example.org", problems);
   const std::string plain = dns_zone::encodeMessage(m);
   const std::string wrong = request(add(9), key("ops", "another secret 16"));
   for (int k = 0; k < 3000; ++k) {
