--- a/src/zone/transfer.h
+++ b/src/dns_zone/transfer.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <string>
 
-#include "zone/message.h"
-#include "zone/zone.h"
+#include "dns_zone/message.h"
+#include "dns_zone/zone.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 class Transfer {
  public:
@@ -32,7 +32,14 @@
 
  private:
   enum class Phase { Begin, Second, Whole, Removing, Adding, Over };
+  State refusal(const Message& message);
+  State raw(const RawRecord& raw);
   State record(const Record& r);
+  // A record of each phase.
+  State second(const Record& r);
+  State ofWhole(const Record& r);
+  State removed(const Record& r);
+  State added(const Record& r);
   State end(State state, const std::string& why);
   bool lastSoa(const Record& r) const { return r.type == Type::SOA && r.data == final_.data; }
 
@@ -48,4 +55,4 @@
   std::size_t records_ = 0, messages_ = 0;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/acceptor.cpp
+++ b/src/dns_zone/update_processor.cpp
@@ -1,10 +1,11 @@
-#include "zone/acceptor.h"
+#include "dns_zone/update_processor.h"
 
 #include <algorithm>
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 namespace {
 
+constexpr std::size_t kHeaderSize = 12;  // of a message (RFC 1035, section 4.1.1)
 constexpr std::size_t kTicketsMost = 8;  // of one request while it is on its way to the disk
 
 std::string replyTo(const Message& request, Rcode rcode) {
@@ -26,6 +27,17 @@
   return reply;
 }
 
+// The answer to bytes that are no message: a header at least, and no answer, as answering answers would go
+// round for ever. "" where nothing is sent.
+std::string replyToMalformed(const std::string& bytes) {
+  if (bytes.size() < kHeaderSize || (bytes[2] & 0x80) != 0) return "";
+  Message bare;
+  bare.id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
+                                       static_cast<unsigned char>(bytes[1]));
+  bare.opcode = Opcode::Update;
+  return replyTo(bare, Rcode::FormErr);
+}
+
 const char* codeOf(TsigError error) {
   switch (error) {
     case TsigError::BadSig:
@@ -44,16 +56,17 @@
 
 }  // namespace
 
-Acceptor::Acceptor(Zone zone, std::vector<Remembered> requests, AcceptorSettings settings)
+UpdateProcessor::UpdateProcessor(Zone zone, std::vector<AnsweredRequest> requests,
+                                 UpdateProcessorSettings settings)
     : settings_(std::move(settings)), durable_(zone), zone_(std::move(zone)) {
-  for (Remembered& r : requests) {
+  for (AnsweredRequest& r : requests) {
     const Request request{r.key, r.id, r.mac};
-    ages_.emplace(r.until, request);
+    expiries_.emplace(r.until, request);
     remembered_[request] = std::move(r);
   }
 }
 
-bool Acceptor::granted(const std::string& key, const RawRecord& change) const {
+bool UpdateProcessor::granted(const std::string& key, const RawRecord& change) const {
   const auto type = typeOf(change.type);
   return std::any_of(settings_.grants.begin(), settings_.grants.end(), [&](const Grant& g) {
     const bool below = g.name.compare(0, 2, "*.") == 0;
@@ -63,35 +76,29 @@
   });
 }
 
-void Acceptor::forget(std::int64_t now) {
-  while (!ages_.empty() && ages_.begin()->first < now) {
-    remembered_.erase(ages_.begin()->second);
-    ages_.erase(ages_.begin());
+void UpdateProcessor::forget(std::int64_t now) {
+  while (!expiries_.empty() && expiries_.begin()->first < now) {
+    remembered_.erase(expiries_.begin()->second);
+    expiries_.erase(expiries_.begin());
   }
 }
 
-std::string Acceptor::signedReply(const Pending& p, Rcode rcode, const Keys& keys, std::int64_t now) const {
+std::string UpdateProcessor::signedReply(const Pending& p, Rcode rcode, const Keys& keys,
+                                         std::int64_t now) const {
   const std::string reply = withRcode(p.reply, rcode);
-  const Key* key = keys.find(p.step.request.key);
+  const Key* key = keys.find(p.entry.request.key);
   std::string mac;
-  return key == nullptr ? reply : sign(reply, *key, now, mac, p.step.request.mac);
+  return key == nullptr ? reply : sign(reply, *key, now, mac, p.entry.request.mac);
 }
 
-Acceptor::Taken Acceptor::take(const std::string& bytes, const Keys& keys, std::int64_t now) {
+UpdateProcessor::Taken UpdateProcessor::take(const std::string& bytes, const Keys& keys, std::int64_t now) {
   Taken taken;
   taken.answered = true;
   const auto decoded = decodeMessage(bytes);
   if (!decoded) {
     taken.code = "bad-form";
     taken.rcode = Rcode::FormErr;
-    // A header at least, and no answer: answering answers would go round for ever.
-    if (bytes.size() >= 12 && (bytes[2] & 0x80) == 0) {
-      Message bare;
-      bare.id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
-                                           static_cast<unsigned char>(bytes[1]));
-      bare.opcode = Opcode::Update;
-      taken.answer = replyTo(bare, Rcode::FormErr);
-    }
+    taken.answer = replyToMalformed(bytes);
     return taken;
   }
   const Message& m = *decoded;
@@ -115,23 +122,27 @@
     taken.answer = signRefusal(taken.answer, checked, keys, now);
     return taken;
   }
-  const Key& key = *keys.find(checked.key);
-  const auto signedNow = [&](Rcode rcode) {
-    std::string mac;
-    return sign(replyTo(m, rcode), key, now, mac, checked.mac);
-  };
-  const auto refuseSigned = [&](Rcode rcode, const std::string& code, const std::string& why) {
-    refuse(rcode, code, why);
-    taken.answer = signedNow(rcode);
-    return taken;
-  };
-  // The same request again: on its way, or answered.
   forget(now);
+  if (const auto again = repeated(m, checked, keys, now)) return *again;
+  return carryOut(m, checked, keys, now);
+}
+
+std::string UpdateProcessor::signedNow(const Message& request, const Checked& checked, Rcode rcode,
+                                       const Keys& keys, std::int64_t now) {
+  std::string mac;
+  return sign(replyTo(request, rcode), *keys.find(checked.key), now, mac, checked.mac);
+}
+
+// The same request again: on its way to the disk, or answered before.
+std::optional<UpdateProcessor::Taken> UpdateProcessor::repeated(const Message& m, const Checked& checked,
+                                                                const Keys& keys, std::int64_t now) {
+  Taken taken;
+  taken.answered = true;
+  taken.code = "repeated";
   const Request request{checked.key, m.id, checked.mac};
   for (auto* queue : {&batch_, &open_}) {
     for (Pending& p : *queue) {
-      if (Request{p.step.request.key, p.step.request.id, p.step.request.mac} != request) continue;
-      taken.code = "repeated";
+      if (Request{p.entry.request.key, p.entry.request.id, p.entry.request.mac} != request) continue;
       // Who sends it again and again while it is on its way gets so many answers; the first is on its way
       // too.
       if (p.tickets.size() >= kTicketsMost) return taken;
@@ -142,21 +153,32 @@
     }
   }
   const auto known = remembered_.find(request);
-  if (known != remembered_.end()) {
-    taken.code = "repeated";
-    taken.rcode = known->second.rcode;
-    taken.answer = signedNow(taken.rcode);
+  if (known == remembered_.end()) return std::nullopt;
+  taken.rcode = known->second.rcode;
+  taken.answer = signedNow(m, checked, taken.rcode, keys, now);
+  return taken;
+}
+
+// A signed request that was not met before.
+UpdateProcessor::Taken UpdateProcessor::carryOut(const Message& m, const Checked& checked, const Keys& keys,
+                                                 std::int64_t now) {
+  Taken taken;
+  taken.answered = true;
+  const auto refuse = [&](Rcode rcode, const char* code, const std::string& why) {
+    taken.rcode = rcode;
+    taken.code = code;
+    taken.why = why;
+    taken.answer = signedNow(m, checked, rcode, keys, now);
     return taken;
-  }
+  };
   for (const RawRecord& change : m.authority) {
     if (within(change.name, zone_.origin()) && !granted(checked.key, change))
-      return refuseSigned(Rcode::Refused, "not-granted",
-                          "key " + checked.key + " may not change " + change.name);
+      return refuse(Rcode::Refused, "not-granted", "key " + checked.key + " may not change " + change.name);
   }
   // Who is not remembered could be carried out twice: no room, no update.
   if (remembered_.size() + open_.size() + batch_.size() >= settings_.remembered ||
       open_.size() >= settings_.pending)
-    return refuseSigned(Rcode::ServFail, "crowded", "more updates than may wait or be remembered");
+    return refuse(Rcode::ServFail, "crowded", "more updates than may wait or be remembered");
   const Applied applied = apply(zone_, m);
   taken.rcode = applied.rcode;
   taken.code = applied.rcode == Rcode::NoError ? "accepted" : "refused";
@@ -164,17 +186,17 @@
   const bool changes = !applied.change.empty();
   // What rests on changes that are not on disk yet is answered with them.
   if (!changes && open_.empty() && batch_.empty()) {
-    taken.answer = signedNow(applied.rcode);
+    taken.answer = signedNow(m, checked, applied.rcode, keys, now);
     return taken;
   }
   Pending p;
-  p.step.change = applied.change;
-  p.step.request = {checked.key,
-                    checked.mac,
-                    m.id,
-                    applied.rcode,
-                    static_cast<std::int64_t>(checked.signedAt) + checked.fudge,
-                    now};
+  p.entry.change = applied.change;
+  p.entry.request = {checked.key,
+                     checked.mac,
+                     m.id,
+                     applied.rcode,
+                     static_cast<std::int64_t>(checked.signedAt) + checked.fudge,
+                     now};
   p.reply = replyTo(m, applied.rcode);
   p.changes = changes;
   taken.answered = false;
@@ -184,18 +206,19 @@
   return taken;
 }
 
-std::vector<std::string> Acceptor::begin() {
+std::vector<std::string> UpdateProcessor::begin() {
   writing_ = true;
   batch_ = std::move(open_);
   open_.clear();
-  std::vector<std::string> steps;
+  std::vector<std::string> entries;
   for (const Pending& p : batch_) {
-    if (p.changes) steps.push_back(encodeStep(p.step));
+    if (p.changes) entries.push_back(encodeJournalEntry(p.entry));
   }
-  return steps;
+  return entries;
 }
 
-std::vector<Acceptor::Answer> Acceptor::settled(bool onDisk, const Keys& keys, std::int64_t now) {
+std::vector<UpdateProcessor::Answer> UpdateProcessor::settled(bool onDisk, const Keys& keys,
+                                                              std::int64_t now) {
   std::vector<Answer> answers;
   writing_ = false;
   lastChanges_.clear();
@@ -205,7 +228,7 @@
   if (!onDisk) {
     // Latest first: each is taken back from the zone as it found it.
     for (auto* queue : {&open_, &batch_}) {
-      for (auto p = queue->rbegin(); p != queue->rend(); ++p) undo(zone_, p->step.change);
+      for (auto p = queue->rbegin(); p != queue->rend(); ++p) undo(zone_, p->entry.change);
     }
     for (auto* queue : {&batch_, &open_}) {
       for (const Pending& p : *queue) tell(p, Rcode::ServFail);
@@ -214,29 +237,30 @@
     return answers;
   }
   for (Pending& p : batch_) {
-    redo(durable_, p.step.change);
-    if (p.changes) lastChanges_.push_back(p.step.change);
-    tell(p, p.step.request.rcode);
+    redo(durable_, p.entry.change);
+    if (p.changes) lastChanges_.push_back(p.entry.change);
+    tell(p, p.entry.request.rcode);
     if (!p.changes) continue;
-    const Request request{p.step.request.key, p.step.request.id, p.step.request.mac};
-    ages_.emplace(p.step.request.until, request);
-    remembered_[request] = std::move(p.step.request);
+    const Request request{p.entry.request.key, p.entry.request.id, p.entry.request.mac};
+    expiries_.emplace(p.entry.request.until, request);
+    remembered_[request] = std::move(p.entry.request);
   }
   batch_.clear();
   return answers;
 }
 
-std::string Acceptor::snapshot(std::int64_t now, const std::vector<Age>& ages, Micros freshAt) const {
-  std::vector<Remembered> requests;
+std::string UpdateProcessor::snapshot(std::int64_t now, const std::vector<EndpointSince>& firstSeen,
+                                      Micros freshAt) const {
+  std::vector<AnsweredRequest> requests;
   for (const auto& [request, r] : remembered_) {
     if (r.until >= now) requests.push_back(r);
   }
-  return encodeImage(durable_, requests, ages, freshAt);
+  return encodeSnapshot(durable_, requests, firstSeen, freshAt);
 }
 
-void Acceptor::replace(Zone zone) {
+void UpdateProcessor::replace(Zone zone) {
   durable_ = zone;
   zone_ = std::move(zone);
 }
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/zone/acceptor.h
+++ b/src/dns_zone/update_processor.h
@@ -4,15 +4,16 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "zone/image.h"
-#include "zone/tsig.h"
-#include "zone/update.h"
+#include "dns_zone/snapshot.h"
+#include "dns_zone/tsig.h"
+#include "dns_zone/update.h"
 
-namespace peargrade::zone {
+namespace peargrade::dns_zone {
 
 struct Grant {
   std::string key;       // canonical name
@@ -20,17 +21,17 @@
   std::set<Type> types;  // empty: all
 };
 
-struct AcceptorSettings {
+struct UpdateProcessorSettings {
   std::vector<Grant> grants;
   std::size_t remembered = 100000;  // requests that may be sent again; when full, updates wait for room
   std::size_t pending = 4096;       // accepted and not on disk yet
 };
 
-class Acceptor {
+class UpdateProcessor {
  public:
   using Ticket = std::uint64_t;
 
-  Acceptor(Zone zone, std::vector<Remembered> requests, AcceptorSettings settings);
+  UpdateProcessor(Zone zone, std::vector<AnsweredRequest> requests, UpdateProcessorSettings settings);
 
   struct Taken {
     bool answered = false;  // `answer` is to be sent now; else once the ticket's batch is settled
@@ -61,31 +62,36 @@
   const Zone& durable() const { return durable_; }  // what is on disk
   const Zone& zone() const { return zone_; }        // with what is on its way there
   // What a snapshot holds; only while nothing is being written.
-  std::string snapshot(std::int64_t now, const std::vector<Age>& ages = {}, Micros freshAt = 0) const;
+  std::string snapshot(std::int64_t now, const std::vector<EndpointSince>& firstSeen = {},
+                       Micros freshAt = 0) const;
   // Another zone takes the place of this one (a file was read, a transfer came). Only while nothing waits.
   void replace(Zone zone);
 
  private:
   using Request = std::tuple<std::string, std::uint16_t, std::string>;  // key, id, MAC
   struct Pending {
-    Step step;
+    JournalEntry entry;
     std::vector<std::pair<Ticket, std::uint16_t>> tickets;
     std::string reply;  // without its signature
     bool changes = false;
   };
 
+  std::optional<Taken> repeated(const Message& m, const Checked& checked, const Keys& keys, std::int64_t now);
+  Taken carryOut(const Message& m, const Checked& checked, const Keys& keys, std::int64_t now);
+  static std::string signedNow(const Message& request, const Checked& checked, Rcode rcode, const Keys& keys,
+                               std::int64_t now);
   bool granted(const std::string& key, const RawRecord& change) const;
   void forget(std::int64_t now);
   std::string signedReply(const Pending& p, Rcode rcode, const Keys& keys, std::int64_t now) const;
 
-  AcceptorSettings settings_;
+  UpdateProcessorSettings settings_;
   Zone durable_, zone_;
-  std::map<Request, Remembered> remembered_;
-  std::multimap<std::int64_t, Request> ages_;
+  std::map<Request, AnsweredRequest> remembered_;
+  std::multimap<std::int64_t, Request> expiries_;
   std::deque<Pending> open_, batch_;
   std::vector<Difference> lastChanges_;
   bool writing_ = false;
   Ticket next_ = 1;
 };
 
-}  // namespace peargrade::zone
+}  // namespace peargrade::dns_zone
--- a/src/sources/front.h
+++ b/src/sources/front.h
@@ -13,6 +13,7 @@
 #include "exchange/exchange.h"
 #include "log/log.h"
 #include "operator/operator.h"
+#include "zone_server/commands.h"
 
 namespace peargrade::sources {
 
@@ -39,21 +40,14 @@
   virtual void explain() = 0;
 };
 
-struct ZoneAsked {
-  std::string verb;  // check, show, diff, update, accept
-  std::vector<std::string> files;
-  std::string origin, folder, server, key, state, label;
-  std::uint32_t serial = 0;
-  bool json = false, tcp = false;
-  Micros within = 5000000;
-};
-struct LookupAsked {
+using zone_server::ZoneCommand;
+struct LookupCommand {
   std::string name;
   std::vector<std::string> servers;
   bool json = false;
   Micros within = 6000000;
 };
-struct ExplainAsked {
+struct ExplainCommand {
   std::string discovery;  // address; "": the roster is left out
   bool json = false;
   Micros within = 10000000;
@@ -64,9 +58,9 @@
 struct Module {
   const char* build;
   std::unique_ptr<Front> (*open)(const Surroundings&);
-  int (*lookup)(const LookupAsked&, log::Log&);
-  int (*explain)(const ExplainAsked&, const op::Operator&, const discovery::Names&, log::Log&);
-  int (*zone)(const ZoneAsked&, log::Log&);
+  int (*lookup)(const LookupCommand&, log::Log&);
+  int (*explain)(const ExplainCommand&, const op::Operator&, const discovery::Names&, log::Log&);
+  int (*zone)(const ZoneCommand&, log::Log&);
 };
 inline constexpr char kEntry[] = "peargrade_sources_module";
 inline constexpr char kFile[] = "peargrade_sources.so";
--- a/src/zones/script.cpp
+++ b/src/zone_server/update_script.cpp
@@ -1,9 +1,9 @@
-#include "zones/script.h"
+#include "zone_server/update_script.h"
 
 #include <algorithm>
 #include <sstream>
 
-namespace peargrade::zones {
+namespace peargrade::zone_server {
 namespace {
 
 struct Word {
@@ -33,46 +33,34 @@
   return words;
 }
 
-class Script {
+class UpdateScriptReader {
  public:
-  Script(const std::string& file, const std::string& origin, std::vector<std::string>& problems)
+  UpdateScriptReader(const std::string& file, const std::string& origin, std::vector<std::string>& problems)
       : file_(file), origin_(origin), problems_(problems) {}
 
-  void line(std::size_t number, const std::vector<Word>& words, zone::Message& m) {
+  // Reads one line into the update `m`.
+  void line(std::size_t number, const std::vector<Word>& words, dns_zone::Message& m) {
     number_ = number;
     const std::string& verb = words[0].text;
-    zone::RawRecord r;
+    dns_zone::RawRecord r;
     if (verb != "need" && verb != "need-not" && verb != "add" && verb != "delete")
       return wrong(words[0], "expected need, need-not, add or delete");
     if (words.size() < 2) return wrong(words[0], "expected a name after " + verb);
     if (!name(words[1], r.name)) return;
     std::size_t at = 2;
-    if (verb == "add") {
-      if (words.size() < 5) return wrong(words.back(), "expected add NAME TTL TYPE DATA");
-      const std::string& ttl = words[2].text;
-      if (ttl.empty() || ttl.size() > 9 || ttl.find_first_not_of("0123456789") != std::string::npos)
-        return wrong(words[2], "expected a lifetime in seconds");
-      r.ttl = static_cast<std::uint32_t>(std::stoul(ttl));
-      at = 3;
-    }
-    const bool typed = at < words.size();
-    std::optional<zone::Type> type;
-    if (typed) {
-      type = zone::typeNamed(words[at].text);
-      if (!type) return wrong(words[at], "expected a type: A, AAAA, CNAME, NS, SOA, SRV or TXT");
-      ++at;
-    }
-    r.type = typed ? static_cast<std::uint16_t>(*type) : zone::kTypeAny;
-    const bool withData = at < words.size();
-    if (withData && verb == "need-not") return wrong(words[at], "expected nothing after the type");
-    if (withData && !data(words, at, *type, r.data)) return;
-    if (verb == "need" || verb == "need-not") {
-      r.cls = verb == "need-not" ? zone::kClassNone : withData ? zone::kIn : zone::kClassAny;
-      m.answer.push_back(r);
-    } else {
-      r.cls = verb == "add" ? zone::kIn : withData ? zone::kClassNone : zone::kClassAny;
-      m.authority.push_back(r);
-    }
+    if (verb == "add" && !lifetime(words, at, r.ttl)) return;
+    bool withData = false;
+    if (!typeAndData(words, at, r, withData)) return;
+    const bool prerequisite = verb == "need" || verb == "need-not";
+    if (verb == "need-not")
+      r.cls = dns_zone::kClassNone;
+    else if (verb == "add")
+      r.cls = dns_zone::kIn;
+    else if (prerequisite)
+      r.cls = withData ? dns_zone::kIn : dns_zone::kClassAny;
+    else
+      r.cls = withData ? dns_zone::kClassNone : dns_zone::kClassAny;
+    (prerequisite ? m.answer : m.authority).push_back(r);
   }
 
  private:
@@ -84,29 +72,61 @@
     if (text == "@") return origin_ + ".";
     return text.empty() || text.back() == '.' ? text : text + "." + origin_ + ".";
   }
+  bool lifetime(const std::vector<Word>& words, std::size_t& at, std::uint32_t& ttl) {
+    if (words.size() < 5) {
+      wrong(words.back(), "expected add NAME TTL TYPE DATA");
+      return false;
+    }
+    const std::string& text = words[at].text;
+    if (text.empty() || text.size() > 9 || text.find_first_not_of("0123456789") != std::string::npos) {
+      wrong(words[at], "expected a lifetime in seconds");
+      return false;
+    }
+    ttl = static_cast<std::uint32_t>(std::stoul(text));
+    ++at;
+    return true;
+  }
+  // Both may be left out; `withData` says whether there is data.
+  bool typeAndData(const std::vector<Word>& words, std::size_t at, dns_zone::RawRecord& r, bool& withData) {
+    r.type = dns_zone::kTypeAny;
+    if (at >= words.size()) return true;
+    const auto type = dns_zone::typeNamed(words[at].text);
+    if (!type) {
+      wrong(words[at], "expected a type: A, AAAA, CNAME, NS, SOA, SRV or TXT");
+      return false;
+    }
+    r.type = static_cast<std::uint16_t>(*type);
+    withData = ++at < words.size();
+    if (!withData) return true;
+    if (words[0].text == "need-not") {
+      wrong(words[at], "expected nothing after the type");
+      return false;
+    }
+    return data(words, at, *type, r.data);
+  }
   bool name(const Word& word, std::string& out) {
-    const auto wire = zone::encodeField(zone::Type::NS, 0, whole(word.text));
+    const auto wire = dns_zone::encodeField(dns_zone::Type::NS, 0, whole(word.text));
     if (!wire) {
       wrong(word, "expected a domain name");
       return false;
     }
     std::size_t at = 0;
-    out = *zone::readName(*wire, at);
+    out = *dns_zone::readName(*wire, at);
     return true;
   }
-  bool data(const std::vector<Word>& words, std::size_t at, zone::Type type, std::string& out) {
-    const auto& fields = zone::fieldsOf(type);
-    const bool texts = type == zone::Type::TXT;
+  bool data(const std::vector<Word>& words, std::size_t at, dns_zone::Type type, std::string& out) {
+    const auto& fields = dns_zone::fieldsOf(type);
+    const bool texts = type == dns_zone::Type::TXT;
     const std::size_t due = texts ? words.size() - at : fields.size();
     for (std::size_t f = 0; f < due; ++f) {
-      const zone::Field& field = fields[texts ? 0 : f];
+      const dns_zone::Field& field = fields[texts ? 0 : f];
       if (at >= words.size()) {
         wrong(words.back(), std::string("expected ") + field.name + " behind it, " + field.expected);
         return false;
       }
       const bool isName = std::string(field.expected) == "a domain name";
       const auto bytes =
-          zone::encodeField(type, texts ? 0 : f, isName ? whole(words[at].text) : words[at].text);
+          dns_zone::encodeField(type, texts ? 0 : f, isName ? whole(words[at].text) : words[at].text);
       if (!bytes) {
         wrong(words[at], std::string("expected ") + field.expected + " as " + field.name);
         return false;
@@ -127,14 +147,14 @@
 
 }  // namespace
 
-zone::Message readScript(const std::string& text, const std::string& file, const std::string& origin,
-                         std::vector<std::string>& problems) {
-  zone::Message m;
-  m.opcode = zone::Opcode::Update;
+dns_zone::Message readUpdateScript(const std::string& text, const std::string& file,
+                                   const std::string& origin, std::vector<std::string>& problems) {
+  dns_zone::Message m;
+  m.opcode = dns_zone::Opcode::Update;
   m.hasQuestion = true;
   m.name = origin;
-  m.type = static_cast<std::uint16_t>(zone::Type::SOA);
-  Script script(file, origin, problems);
+  m.type = static_cast<std::uint16_t>(dns_zone::Type::SOA);
+  UpdateScriptReader script(file, origin, problems);
   std::istringstream in(text);
   std::size_t number = 0;
   for (std::string line; std::getline(in, line);) {
@@ -147,4 +167,4 @@
   return m;
 }
 
-}  // namespace peargrade::zones
+}  // namespace peargrade::zone_server
