--- a/bench/follow_bench.cpp
+++ b/bench/follow_bench.cpp
@@ -7,10 +7,10 @@
 #include <iostream>
 #include <memory>
 
-#include "standins/bareness.h"
 #include "standins/collector.h"
 #include "standins/discovery.h"
 #include "standins/nameserver.h"
+#include "standins/slice_coverage.h"
 #include "support/loop.h"
 #include "support/program.h"
 
@@ -29,7 +29,7 @@
   standins::Relay relay{loop.base.get()};
   standins::Discovery discovery{loop.base.get()};
   standins::NameServer one{loop.base.get()}, two{loop.base.get()};
-  standins::Bareness bareness{relay, net::steadyNow};
+  standins::SliceCoverage coverage{relay, net::steadyNow};
   net::Address listen{ownHost(), 3000};
   std::unique_ptr<Written> config, operatorFile;
   std::unique_ptr<Program> program;
@@ -68,7 +68,7 @@
     for (int k = 0; k < servers; ++k) {
       if (mode != Mode::RosterOnly) record(k, k / perService);
       if (mode != Mode::RecordsOnly) discovery.set(id(k), "east", "SERVING", 0, ip(k) + ":3000");
-      bareness.runs(id(k));
+      coverage.runs(id(k));
     }
     std::ifstream in(PEARGRADE_EXAMPLE_CONFIG);
     std::string text{std::istreambuf_iterator<char>(in), {}};
@@ -105,7 +105,7 @@
   bool until(Micros limit, const std::function<bool()>& holds) {
     return loop.until(
         [&] {
-          bareness.sample();
+          coverage.sample();
           return holds();
         },
         limit);
@@ -186,13 +186,13 @@
     for (int k = 3; k < kServers; ++k) w.unrecord(k);
     w.until(2 * kSecond, [] { return false; });
   }
-  w.bareness.leaves(w.id(0), kLimit);
+  w.coverage.leaves(w.id(0), kLimit);
   if (mode != Mode::RecordsOnly) w.discovery.set(w.id(0), "east", "DELETED", 0, World::ip(0) + ":3000");
   if (mode != Mode::RosterOnly) w.unrecord(0);
   const bool moved = w.until(kLimit, [&] { return !w.used(w.id(0)); });
   // Where nobody could tell of the death, that a line stood is no broken rule.
-  wrong = (moved && !w.bareness.wrongs().empty()) || w.program->ended();
-  return moved ? w.bareness.worst() : -1;
+  wrong = (moved && !w.coverage.wrongs().empty()) || w.program->ended();
+  return moved ? w.coverage.worst() : -1;
 }
 
 void bare() {
--- a/src/dns/pace.h
+++ b/src/dns/lookup_schedule.h
@@ -8,9 +8,9 @@
 
 namespace peargrade::dns {
 
-class Pace {
+class LookupSchedule {
  public:
-  explicit Pace(const Settings& settings) : settings_(settings) {}
+  explicit LookupSchedule(const Settings& settings) : settings_(settings) {}
 
   // From now; `chance` from 0 to 1 spreads it, so that those who learned together do not ask together. An
   // answer that is whole is asked for again before its end; one that is not, after a hold that doubles up to
--- a/src/dns_zone/update.cpp
+++ b/src/dns_zone/update.cpp
@@ -5,7 +5,7 @@
 namespace peargrade::dns_zone {
 namespace {
 
-struct Wrong {
+struct UpdateError {
   Rcode rcode;
   std::string why;
 };
@@ -22,30 +22,32 @@
 
 // Class ANY: the name or the set has to be in use (RFC 2136, sections 3.2.1 and 3.2.2).
 void needInUse(const Zone& zone, const RawRecord& r, bool set) {
-  if (!r.data.empty()) throw Wrong{Rcode::FormErr, "data in a prerequisite of class ANY"};
-  if (r.type == kTypeAny && !zone.hasName(r.name)) throw Wrong{Rcode::NxDomain, r.name + " is not in use"};
-  if (r.type != kTypeAny && !set) throw Wrong{Rcode::NxRrset, shown(r) + " is not there"};
+  if (!r.data.empty()) throw UpdateError{Rcode::FormErr, "data in a prerequisite of class ANY"};
+  if (r.type == kTypeAny && !zone.hasName(r.name))
+    throw UpdateError{Rcode::NxDomain, r.name + " is not in use"};
+  if (r.type != kTypeAny && !set) throw UpdateError{Rcode::NxRrset, shown(r) + " is not there"};
 }
 
 // Class NONE: the name or the set must not be in use.
 void needNotInUse(const Zone& zone, const RawRecord& r, bool set) {
-  if (!r.data.empty()) throw Wrong{Rcode::FormErr, "data in a prerequisite of class NONE"};
-  if (r.type == kTypeAny && zone.hasName(r.name)) throw Wrong{Rcode::YxDomain, r.name + " is in use"};
-  if (r.type != kTypeAny && set) throw Wrong{Rcode::YxRrset, shown(r) + " is there"};
+  if (!r.data.empty()) throw UpdateError{Rcode::FormErr, "data in a prerequisite of class NONE"};
+  if (r.type == kTypeAny && zone.hasName(r.name)) throw UpdateError{Rcode::YxDomain, r.name + " is in use"};
+  if (r.type != kTypeAny && set) throw UpdateError{Rcode::YxRrset, shown(r) + " is there"};
 }
 
 // Section 3.2. `exact` gets what has to be just so: that is known once all are read.
 void checkPrerequisite(const Zone& zone, const RawRecord& r, std::uint16_t zoneClass, ExactSets& exact) {
-  if (r.ttl != 0) throw Wrong{Rcode::FormErr, "a prerequisite with a lifetime: " + shown(r)};
+  if (r.ttl != 0) throw UpdateError{Rcode::FormErr, "a prerequisite with a lifetime: " + shown(r)};
   if (!within(r.name, zone.origin()))
-    throw Wrong{Rcode::NotZone, "a prerequisite out of the zone: " + r.name};
+    throw UpdateError{Rcode::NotZone, "a prerequisite out of the zone: " + r.name};
   const auto type = typeOf(r.type);
   const bool set = type && zone.find(r.name, *type) != nullptr;
   if (r.cls == kClassAny) return needInUse(zone, r, set);
   if (r.cls == kClassNone) return needNotInUse(zone, r, set);
-  if (r.cls != zoneClass) throw Wrong{Rcode::FormErr, "a prerequisite of class " + std::to_string(r.cls)};
+  if (r.cls != zoneClass)
+    throw UpdateError{Rcode::FormErr, "a prerequisite of class " + std::to_string(r.cls)};
   const auto data = type ? canonicalData(*type, r.data) : std::nullopt;
-  if (!data) throw Wrong{Rcode::FormErr, "data that does not fit: " + shown(r)};
+  if (!data) throw UpdateError{Rcode::FormErr, "data that does not fit: " + shown(r)};
   exact[{r.name, r.type}].insert(*data);
 }
 
@@ -54,32 +56,33 @@
   for (const RawRecord& r : update.answer) checkPrerequisite(zone, r, update.cls, exact);
   for (const auto& [key, data] : exact) {
     const Zone::Set* set = zone.find(key.first, *typeOf(key.second));
-    if (set == nullptr || set->data != data) throw Wrong{Rcode::NxRrset, key.first + " is not just so"};
+    if (set == nullptr || set->data != data) throw UpdateError{Rcode::NxRrset, key.first + " is not just so"};
   }
 }
 
 void checkAddition(const RawRecord& r) {
-  if (isMeta(r.type)) throw Wrong{Rcode::FormErr, "a change of a type that is no data"};
+  if (isMeta(r.type)) throw UpdateError{Rcode::FormErr, "a change of a type that is no data"};
   const auto type = typeOf(r.type);
-  if (!type) throw Wrong{Rcode::Refused, "type " + std::to_string(r.type) + " is not kept here"};
-  if (!canonicalData(*type, r.data)) throw Wrong{Rcode::FormErr, "data that does not fit: " + shown(r)};
-  if (r.ttl > 0x7FFFFFFF) throw Wrong{Rcode::FormErr, "a lifetime over 2^31: " + shown(r)};
+  if (!type) throw UpdateError{Rcode::Refused, "type " + std::to_string(r.type) + " is not kept here"};
+  if (!canonicalData(*type, r.data)) throw UpdateError{Rcode::FormErr, "data that does not fit: " + shown(r)};
+  if (r.ttl > 0x7FFFFFFF) throw UpdateError{Rcode::FormErr, "a lifetime over 2^31: " + shown(r)};
 }
 
 // Section 3.4.1: all of it is looked at before any of it is done.
 void checkChanges(const Zone& zone, const Message& update) {
   for (const RawRecord& r : update.authority) {
-    if (!within(r.name, zone.origin())) throw Wrong{Rcode::NotZone, "a change out of the zone: " + r.name};
+    if (!within(r.name, zone.origin()))
+      throw UpdateError{Rcode::NotZone, "a change out of the zone: " + r.name};
     if (r.cls == update.cls) {
       checkAddition(r);
     } else if (r.cls == kClassAny) {
       if (r.ttl != 0 || !r.data.empty() || (isMeta(r.type) && r.type != kTypeAny))
-        throw Wrong{Rcode::FormErr, "a deletion with a lifetime or data: " + shown(r)};
+        throw UpdateError{Rcode::FormErr, "a deletion with a lifetime or data: " + shown(r)};
     } else if (r.cls == kClassNone) {
       if (r.ttl != 0 || isMeta(r.type))
-        throw Wrong{Rcode::FormErr, "a deletion with a lifetime: " + shown(r)};
+        throw UpdateError{Rcode::FormErr, "a deletion with a lifetime: " + shown(r)};
     } else {
-      throw Wrong{Rcode::FormErr, "a change of class " + std::to_string(r.cls)};
+      throw UpdateError{Rcode::FormErr, "a change of class " + std::to_string(r.cls)};
     }
   }
 }
@@ -171,12 +174,12 @@
   Applied applied;
   try {
     if (!update.hasQuestion || update.type != static_cast<std::uint16_t>(Type::SOA))
-      throw Wrong{Rcode::FormErr, "no zone is named"};
+      throw UpdateError{Rcode::FormErr, "no zone is named"};
     if (update.name != zone.origin() || update.cls != kIn)
-      throw Wrong{Rcode::NotAuth, "the zone " + update.name + " is not kept here"};
+      throw UpdateError{Rcode::NotAuth, "the zone " + update.name + " is not kept here"};
     checkPrerequisites(zone, update);
     checkChanges(zone, update);
-  } catch (const Wrong& wrong) {
+  } catch (const UpdateError& wrong) {
     applied.rcode = wrong.rcode;
     applied.why = wrong.why;
     return applied;
--- a/src/locality/places.cpp
+++ b/src/locality/locality_map.cpp
@@ -1,4 +1,4 @@
-#include "locality/places.h"
+#include "locality/locality_map.h"
 
 #include <arpa/inet.h>
 
@@ -6,16 +6,16 @@
 
 namespace peargrade::locality {
 
-Places::Places(const std::vector<op::Place>& places, const discovery::Names& names) {
+LocalityMap::LocalityMap(const std::vector<op::Place>& places, const discovery::Names& names) {
   for (const op::Place& p : places)
-    places_.push_back({p.net, p.mask, std::max(0, discovery::placeOf(names.zones, p.zone)),
+    ranges_.push_back({p.net, p.mask, std::max(0, discovery::placeOf(names.zones, p.zone)),
                        std::max(0, discovery::placeOf(names.kinds, p.kind)), p.podGroup});
 }
 
-bool Places::place(const std::string& address, membership::Sighting& sighting) const {
+bool LocalityMap::locate(const std::string& address, membership::Sighting& sighting) const {
   in_addr numbers{};
   const bool four = inet_pton(AF_INET, address.c_str(), &numbers) == 1;
-  for (const At& at : places_) {
+  for (const At& at : ranges_) {
     if (four ? (ntohl(numbers.s_addr) & at.mask) != at.net : at.mask != 0) continue;
     sighting.zone = at.zone;
     sighting.kind = at.kind;
--- a/src/locality/places.h
+++ b/src/locality/locality_map.h
@@ -12,18 +12,18 @@
 namespace peargrade::locality {
 
 // Where servers of a source stand, by their address.
-class Places {
+class LocalityMap {
  public:
-  Places(const std::vector<op::Place>& places, const discovery::Names& names);
+  LocalityMap(const std::vector<op::Place>& places, const discovery::Names& names);
   // False where no net holds the address. An IPv6 address is in a net of length 0 only.
-  bool place(const std::string& address, membership::Sighting& sighting) const;
+  bool locate(const std::string& address, membership::Sighting& sighting) const;
 
  private:
   struct At {
     std::uint32_t net, mask;
     int zone, kind, cell;
   };
-  std::vector<At> places_;
+  std::vector<At> ranges_;
 };
 
 }  // namespace peargrade::locality
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -178,7 +178,7 @@
   } catch (const peargrade::config::Wrong& e) {
     std::cerr << "peargrade: the configuration is wrong (" << path << "):\n" << e.what() << '\n';
     return 2;
-  } catch (const peargrade::op::Wrong& e) {
+  } catch (const peargrade::op::ParseError& e) {
     std::cerr << "peargrade: the operator's file is wrong:\n" << e.what() << '\n';
     return 2;
   } catch (const std::exception& e) {
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -15,7 +15,7 @@
 namespace peargrade::op {
 
 // The text has a line "FILE:LINE:COLUMN: FIELD: found ..., expected ..." for each thing that is wrong.
-class Wrong : public std::runtime_error {
+class ParseError : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
@@ -67,7 +67,7 @@
 
 const Block& schema();
 
-// Throws Wrong. `file` stands in its lines. `names`: of the configuration; with it zones and kinds are
+// Throws ParseError. `file` stands in its lines. `names`: of the configuration; with it zones and kinds are
 // checked.
 Operator parse(const std::string& text, const std::string& file, const discovery::Names* names);
 Operator load(const std::string& path, const discovery::Names* names);
--- a/src/sources/sources.cpp
+++ b/src/sources/sources.cpp
@@ -38,7 +38,7 @@
     : number(number),
       srv(srv),
       places(srv.places, *owner.around_.names),
-      pace(owner.around_.op->dns),
+      schedule(owner.around_.op->dns),
       again(owner.around_.base, [this, &owner] { owner.look(*this); }) {}
 
 Sources::Sources(const Surroundings& around, dns::Resolver::Random random)
@@ -128,7 +128,7 @@
   settle();
   const double chance = static_cast<double>(random_()) / 4294967296.0;
   const Micros soonest = membership_.confirming() ? around_.op->merge.confirmWithin / kConfirmParts : 0;
-  watch.again.in(watch.pace.after(service, now, chance, soonest));
+  watch.again.in(watch.schedule.after(service, now, chance, soonest));
 }
 
 void Sources::roster(const ListNews& news, const std::vector<std::string>& endpoints) {
--- a/src/sources/sources.h
+++ b/src/sources/sources.h
@@ -1,11 +1,11 @@
 // The sources of servers round the membership: looks services up in time, takes what discovery tells, and
-// posts the one list to the exchange. It decides nothing: when to ask is src/dns/pace.h, who is listed is
-// src/membership.
+// posts the one list to the exchange. It decides nothing: when to ask is src/dns/lookup_schedule.h, who is
+// listed is src/membership.
 #pragma once
 
 #include <list>
 
-#include "dns/pace.h"
+#include "dns/lookup_schedule.h"
 #include "dns/resolver.h"
 #include "membership/membership.h"
 #include "net/net.h"
@@ -39,8 +39,8 @@
     Watch(Sources& owner, std::size_t number, const op::Srv& srv);
     const std::size_t number;
     const op::Srv& srv;
-    const locality::Places places;
-    dns::Pace pace;
+    const locality::LocalityMap places;
+    dns::LookupSchedule schedule;
     net::Timer again;
     bool asked = false;
     dns::Service::Kind said = dns::Service::Kind::Complete;
--- a/src/sources/view.cpp
+++ b/src/sources/view.cpp
@@ -3,7 +3,7 @@
 namespace peargrade::sources {
 
 membership::Observation observed(const dns::Service& service, std::size_t source,
-                                 const locality::Places& places, std::size_t& misplaced) {
+                                 const locality::LocalityMap& places, std::size_t& misplaced) {
   membership::Observation o;
   o.kind = service.kind == dns::Service::Kind::Complete ? membership::Observation::Kind::Complete
                                                         : membership::Observation::Kind::Partial;
@@ -18,7 +18,7 @@
       s.tier = target.priority;
       s.weight = target.weight;
       s.until = target.until;
-      if (places.place(address, s))
+      if (places.locate(address, s))
         o.seen.push_back(std::move(s));
       else
         ++misplaced;
--- a/src/sources/view.h
+++ b/src/sources/view.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include "dns/srv.h"
-#include "locality/places.h"
+#include "locality/locality_map.h"
 #include "membership/membership.h"
 
 namespace peargrade::sources {
 
 // `misplaced` counts addresses that no place holds: they are left out.
 membership::Observation observed(const dns::Service& service, std::size_t source,
-                                 const locality::Places& places, std::size_t& misplaced);
+                                 const locality::LocalityMap& places, std::size_t& misplaced);
 
 }  // namespace peargrade::sources
--- a/src/zone_server/zone_observation.cpp
+++ b/src/zone_server/zone_observation.cpp
@@ -77,7 +77,7 @@
 // Collects the servers of a zone, target by target.
 struct ServerCollector {
   const dns_zone::Zone& zone;
-  const locality::Places& places;
+  const locality::LocalityMap& places;
   const discovery::Names& names;
   const Micros until;
   const std::set<std::string>& drained;
@@ -111,7 +111,7 @@
     s.until = until;
     s.state = attributes.state;
     s.startedAt = attributes.startedAt;
-    if (!places.place(address, s) && attributes.zone < 0) {
+    if (!places.locate(address, s) && attributes.zone < 0) {
       offer.notes.push_back(s.endpoint + ": no place holds it, and no TXT names its zone");
       return;
     }
@@ -143,8 +143,9 @@
 }
 
 ZoneObservation observeZone(const dns_zone::Zone& zone, const std::vector<std::string>& services,
-                            const locality::Places& places, const discovery::Names& names, std::size_t source,
-                            Micros asOf, Micros until, const std::set<std::string>& drained) {
+                            const locality::LocalityMap& places, const discovery::Names& names,
+                            std::size_t source, Micros asOf, Micros until,
+                            const std::set<std::string>& drained) {
   ZoneObservation offer;
   offer.observation.kind = membership::Observation::Kind::Complete;
   offer.observation.source = source;
--- a/src/zone_server/zone_observation.h
+++ b/src/zone_server/zone_observation.h
@@ -9,7 +9,7 @@
 
 #include "discovery/catalog.h"
 #include "dns_zone/zone.h"
-#include "locality/places.h"
+#include "locality/locality_map.h"
 #include "membership/membership.h"
 
 namespace peargrade::zone_server {
@@ -24,8 +24,9 @@
 };
 
 ZoneObservation observeZone(const dns_zone::Zone& zone, const std::vector<std::string>& services,
-                            const locality::Places& places, const discovery::Names& names, std::size_t source,
-                            Micros asOf, Micros until, const std::set<std::string>& drained = {});
+                            const locality::LocalityMap& places, const discovery::Names& names,
+                            std::size_t source, Micros asOf, Micros until,
+                            const std::set<std::string>& drained = {});
 
 // The targets that a change added a record of, with its time.
 void addTargets(const dns_zone::Difference& change, Micros at, std::map<std::string, Micros>& targets);
--- a/src/zone_server/zone_source.h
+++ b/src/zone_server/zone_source.h
@@ -84,7 +84,7 @@
   const std::size_t number_;
   Worker& worker_;
   Observe observe_;
-  const locality::Places places_;
+  const locality::LocalityMap places_;
   std::shared_ptr<DiskStore> disk_;  // of the worker's thread; only passed on here
   dns_zone::SerialPolicy serialPolicy_;
   std::unique_ptr<dns_zone::UpdateProcessor> processor_;
--- a/standins/manual.cpp
+++ b/standins/manual_peer.cpp
@@ -1,4 +1,4 @@
-#include "standins/manual.h"
+#include "standins/manual_peer.h"
 
 #include <netinet/tcp.h>
 #include <unistd.h>
--- a/standins/bareness.cpp
+++ b/standins/slice_coverage.cpp
@@ -1,11 +1,12 @@
-#include "standins/bareness.h"
+#include "standins/slice_coverage.h"
 
 #include <cstdlib>
 #include <sstream>
 
 namespace peargrade::standins {
 
-Bareness::Bareness(Relay& relay, std::function<Micros()> clock) : relay_(relay), clock_(std::move(clock)) {
+SliceCoverage::SliceCoverage(Relay& relay, std::function<Micros()> clock)
+    : relay_(relay), clock_(std::move(clock)) {
   relay_.onOrder = [this](const std::string& order) {
     std::istringstream words(order);
     std::string kind, slice, server, weight;
@@ -20,12 +21,12 @@
   };
 }
 
-void Bareness::leaves(const std::string& server, Micros grace) {
+void SliceCoverage::leaves(const std::string& server, Micros grace) {
   running_.erase(server);
   left_[server] = clock_() + grace;
 }
 
-void Bareness::sample() {
+void SliceCoverage::sample() {
   const Micros now = clock_();
   for (const auto& [slice, lines] : relay_.slices) {
     bool usable = false;
--- a/standins/bareness.h
+++ b/standins/slice_coverage.h
@@ -13,10 +13,10 @@
 
 namespace peargrade::standins {
 
-class Bareness {
+class SliceCoverage {
  public:
   // `clock` in microseconds. It takes over the relay's onOrder.
-  Bareness(Relay& relay, std::function<Micros()> clock);
+  SliceCoverage(Relay& relay, std::function<Micros()> clock);
 
   // ---- The truth ----
   void runs(const std::string& server) { running_.insert(server); }
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -8,7 +8,7 @@
 #include <random>
 
 #include "standins/discovery.h"
-#include "standins/manual.h"
+#include "standins/manual_peer.h"
 #include "support/loop.h"
 
 namespace peargrade::discovery {
--- a/tests/dns/state_test.cpp
+++ b/tests/dns/state_test.cpp
@@ -2,7 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "dns/cache.h"
-#include "dns/pace.h"
+#include "dns/lookup_schedule.h"
 #include "dns/query.h"
 #include "dns/servers.h"
 #include "dns/srv.h"
@@ -246,9 +246,9 @@
   EXPECT_EQ(half.service().kind, Service::Kind::Partial);
 }
 
-TEST(Pace, AWholeAnswerIsAskedForAgainBeforeItsLeastEnd) {
+TEST(LookupSchedule, AWholeAnswerIsAskedForAgainBeforeItsLeastEnd) {
   const Settings s = settings(1);
-  Pace pace(s);
+  LookupSchedule pace(s);
   Service whole;
   whole.kind = Service::Kind::Complete;
   whole.until = 100 * kSecond;
@@ -264,9 +264,9 @@
   EXPECT_EQ(pace.after(whole, 0, 0, 0), s.ttlLeast / 2) << "never at once";
 }
 
-TEST(Pace, FailuresHoldLongerEachTimeUpToTheirBoundUnlessASecondAnswerIsWaitedFor) {
+TEST(LookupSchedule, FailuresHoldLongerEachTimeUpToTheirBoundUnlessASecondAnswerIsWaitedFor) {
   const Settings s = settings(1);
-  Pace pace(s);
+  LookupSchedule pace(s);
   const Service failed;
   EXPECT_EQ(pace.after(failed, 0, 0, 0), kSecond);
   EXPECT_EQ(pace.after(failed, 0, 0, 0), 2 * kSecond);
--- a/tests/operator/operator_test.cpp
+++ b/tests/operator/operator_test.cpp
@@ -20,7 +20,7 @@
 std::string wrong(const std::string& text) {
   try {
     parse(text, "op.kdl", &kNames);
-  } catch (const Wrong& e) {
+  } catch (const ParseError& e) {
     return e.what();
   }
   return "";
@@ -134,7 +134,7 @@
 }
 
 TEST(Operator, AFileThatCannotBeReadIsAMistakeLikeOthers) {
-  EXPECT_THROW(load("/nonexistent/op.kdl", nullptr), Wrong);
+  EXPECT_THROW(load("/nonexistent/op.kdl", nullptr), ParseError);
 }
 
 TEST(Operator, EverySettingIsInTheTableForPeople) {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -5,7 +5,7 @@
 
 #include <random>
 
-#include "standins/manual.h"
+#include "standins/manual_peer.h"
 #include "standins/relay.h"
 #include "support/loop.h"
 
--- a/tests/sources/sources_test.cpp
+++ b/tests/sources/sources_test.cpp
@@ -28,16 +28,16 @@
 
 TEST(Places, TheFirstNetThatHoldsTheAddressSaysWhereItStands) {
   const discovery::Names names = testNames();
-  const locality::Places places({place("10.1.0.0", 16, "b", "m2"), place("0.0.0.0", 0, "a")}, names);
+  const locality::LocalityMap places({place("10.1.0.0", 16, "b", "m2"), place("0.0.0.0", 0, "a")}, names);
   membership::Sighting s;
-  ASSERT_TRUE(places.place("10.1.2.3", s));
+  ASSERT_TRUE(places.locate("10.1.2.3", s));
   EXPECT_EQ(s.zone, 1);
   EXPECT_EQ(s.kind, 1);
-  ASSERT_TRUE(places.place("10.2.2.3", s));
+  ASSERT_TRUE(places.locate("10.2.2.3", s));
   EXPECT_EQ(s.zone, 0);
-  ASSERT_TRUE(places.place("[::1]", s)) << "a net of length 0 holds every address";
-  EXPECT_FALSE(locality::Places({place("10.1.0.0", 16, "b")}, names).place("[::1]", s));
-  EXPECT_FALSE(locality::Places({place("10.1.0.0", 16, "b")}, names).place("10.2.0.1", s));
+  ASSERT_TRUE(places.locate("[::1]", s)) << "a net of length 0 holds every address";
+  EXPECT_FALSE(locality::LocalityMap({place("10.1.0.0", 16, "b")}, names).locate("[::1]", s));
+  EXPECT_FALSE(locality::LocalityMap({place("10.1.0.0", 16, "b")}, names).locate("10.2.0.1", s));
 }
 
 TEST(Observed, EachAddressOfATargetIsAServerAndUnsureOnesAreNamed) {
@@ -47,7 +47,8 @@
   service.targets = {{"a.org", 1, 5, 80, {"10.1.0.1", "10.9.0.1"}, true, 50},
                      {"b.org", 2, 0, 81, {}, false, 60}};
   std::size_t misplaced = 0;
-  const auto o = observed(service, 3, locality::Places({place("10.1.0.0", 16, "a")}, testNames()), misplaced);
+  const auto o =
+      observed(service, 3, locality::LocalityMap({place("10.1.0.0", 16, "a")}, testNames()), misplaced);
   EXPECT_EQ(o.kind, membership::Observation::Kind::Complete);
   EXPECT_EQ(o.source, 3u);
   ASSERT_EQ(o.seen.size(), 1u);
--- a/tests/sources/whole_test.cpp
+++ b/tests/sources/whole_test.cpp
@@ -3,10 +3,10 @@
 // s.
 #include <gtest/gtest.h>
 
-#include "standins/bareness.h"
 #include "standins/collector.h"
 #include "standins/discovery.h"
 #include "standins/nameserver.h"
+#include "standins/slice_coverage.h"
 #include "support/loop.h"
 #include "support/program.h"
 
@@ -26,7 +26,7 @@
   standins::Relay relay{loop.base.get()};
   standins::Discovery discovery{loop.base.get()};
   standins::NameServer names{loop.base.get()};
-  standins::Bareness bareness{relay, net::steadyNow};
+  standins::SliceCoverage coverage{relay, net::steadyNow};
   net::Address listen{ownHost(), 3000};
   std::unique_ptr<Written> config, operatorFile;
   std::unique_ptr<Program> program;
@@ -52,7 +52,7 @@
       relay.slices[slice] = {{roster ? "s" + std::to_string(slice % 6) : at(slice % 6), "1"}};
     for (int k = 0; k < 6; ++k) {
       record(k);
-      bareness.runs(roster ? "s" + std::to_string(k) : at(k));
+      coverage.runs(roster ? "s" + std::to_string(k) : at(k));
       if (roster) discovery.set("s" + std::to_string(k), "east", "SERVING", 0, at(k));
     }
     std::ifstream in(PEARGRADE_EXAMPLE_CONFIG);
@@ -80,7 +80,7 @@
   }
   bool until(const std::function<bool()>& holds) {
     return loop.until([&] {
-      bareness.sample();
+      coverage.sample();
       return holds();
     });
   }
@@ -96,12 +96,12 @@
     return false;
   }
   void expectRulesKept() {
-    EXPECT_LE(bareness.worst(), kBareMax + kSocketRoom) << bareness.where() << "\n" << program->output();
-    for (const std::string& wrong : bareness.wrongs()) ADD_FAILURE() << wrong;
+    EXPECT_LE(coverage.worst(), kBareMax + kSocketRoom) << coverage.where() << "\n" << program->output();
+    for (const std::string& wrong : coverage.wrongs()) ADD_FAILURE() << wrong;
     EXPECT_FALSE(program->ended()) << program->output();
     program->signal(SIGTERM);
     EXPECT_EQ(program->wait(), 0) << program->output();
-    std::cout << "worst bare " << bareness.worst() / 1000 << " ms\n";
+    std::cout << "worst bare " << coverage.worst() / 1000 << " ms\n";
   }
 };
 
@@ -113,7 +113,7 @@
   ASSERT_TRUE(until([&] { return said("srv orders: partial code=truncated"); })) << program->output();
   pass(3 * kSecond);
   for (int k = 0; k < 6; ++k) EXPECT_TRUE(used(at(k))) << at(k);
-  EXPECT_EQ(bareness.worst(), 0);
+  EXPECT_EQ(coverage.worst(), 0);
   expectRulesKept();
 }
 
@@ -124,14 +124,14 @@
   ASSERT_TRUE(until([&] { return said("srv orders: failed"); })) << program->output();
   pass(3 * kSecond);
   for (int k = 0; k < 6; ++k) EXPECT_TRUE(used("s" + std::to_string(k)));
-  EXPECT_EQ(bareness.worst(), 0);
+  EXPECT_EQ(coverage.worst(), 0);
   expectRulesKept();
 }
 
 TEST_F(Whole, ADrainOfTheRosterIsKeptThoughRecordsGoOnListing) {
   start(true);
   discovery.set("s0", "east", "DRAINING", 0, at(0));
-  bareness.leaves("s0", kDrainGrace + kSocketRoom);
+  coverage.leaves("s0", kDrainGrace + kSocketRoom);
   ASSERT_TRUE(until([&] { return !used("s0"); })) << program->output();
   pass(3 * kSecond);
   EXPECT_FALSE(used("s0"));
@@ -142,7 +142,7 @@
 TEST_F(Whole, AServerTakenOutOfTheRecordsIsLeftWithinItsLifetime) {
   start(false);
   unrecord(1);
-  bareness.leaves(at(1), kDrainGrace + kSocketRoom + kSecond);
+  coverage.leaves(at(1), kDrainGrace + kSocketRoom + kSecond);
   ASSERT_TRUE(until([&] { return !used(at(1)); })) << program->output();
   expectRulesKept();
 }
@@ -152,7 +152,7 @@
 TEST_F(Whole, AZoneThatLosesMostServersIsAskedTwiceAndNeverLeavesASliceBare) {
   start(false, "confirm-within \"3s\"");
   for (int k = 2; k < 6; ++k) unrecord(k);
-  for (int k = 2; k < 6; ++k) bareness.leaves(at(k), 2 * kBareMax);
+  for (int k = 2; k < 6; ++k) coverage.leaves(at(k), 2 * kBareMax);
   ASSERT_TRUE(until([&] { return !used(at(2)) && !used(at(3)) && !used(at(4)) && !used(at(5)); }))
       << program->output();
   EXPECT_TRUE(said("code=removed"));
@@ -165,7 +165,7 @@
   start(true, "", "srv orders: failed");
   pass(kSecond);
   discovery.set("s2", "east", "DRAINING", 0, at(2));
-  bareness.leaves("s2", kDrainGrace + kSocketRoom);
+  coverage.leaves("s2", kDrainGrace + kSocketRoom);
   ASSERT_TRUE(until([&] { return !used("s2"); })) << program->output();
   expectRulesKept();
 }
--- a/tests/zone_server/whole_test.cpp
+++ b/tests/zone_server/whole_test.cpp
@@ -9,8 +9,8 @@
 #include <fstream>
 #include <random>
 
-#include "standins/bareness.h"
 #include "standins/collector.h"
+#include "standins/slice_coverage.h"
 #include "support/loop.h"
 #include "support/program.h"
 
@@ -23,7 +23,7 @@
 struct Deploy : testing::Test {
   Loop loop;
   standins::Relay relay{loop.base.get()};
-  standins::Bareness bareness{relay, net::steadyNow};
+  standins::SliceCoverage coverage{relay, net::steadyNow};
   net::Address listen{ownHost(), 3000}, updates{ownHost(), 5300};
   std::string root = testing::TempDir() + "peargrade_deploy_" + std::to_string(getpid());
   std::unique_ptr<Written> config, operatorFile, keys, script;
@@ -85,7 +85,7 @@
   }
   bool until(const std::function<bool()>& holds) {
     return loop.until([&] {
-      bareness.sample();
+      coverage.sample();
       return holds();
     });
   }
@@ -116,17 +116,17 @@
   std::string all;
   for (int k = 0; k < 6; ++k) {
     all += add(k);
-    bareness.runs(at(k));
+    coverage.runs(at(k));
   }
   ASSERT_EQ(update(all), 0) << program->output();
   untilItAnswers();
   for (int k = 0; k < 3; ++k) {
     const int successor = 10 + k;
-    bareness.runs(at(successor));
+    coverage.runs(at(successor));
     ASSERT_EQ(update(add(successor) + "add " + host(successor) + " 60 TXT started=" + startedNow() + "\n"),
               0);
     ASSERT_EQ(update("add " + host(k) + " 60 TXT state=draining\n", {"--tcp"}), 0);
-    bareness.leaves(at(k), kDrainGrace + kSocketRoom);
+    coverage.leaves(at(k), kDrainGrace + kSocketRoom);
     // An update amid the drain that names it as before does not undrain it.
     ASSERT_EQ(update("delete " + host(k) + " TXT\n" + add(k)), 0);
     ASSERT_TRUE(until([&] { return !used(k); })) << program->output();
@@ -135,9 +135,9 @@
   const Micros end = net::steadyNow() + 2 * kSecond;
   until([&] { return net::steadyNow() > end; });
   for (int k = 0; k < 3; ++k) EXPECT_FALSE(used(k)) << k;
-  EXPECT_LE(bareness.worst(), kBareMax + kSocketRoom) << bareness.where();
-  for (const std::string& wrong : bareness.wrongs()) ADD_FAILURE() << wrong;
-  std::cout << "worst bare " << bareness.worst() / 1000 << " ms\n";
+  EXPECT_LE(coverage.worst(), kBareMax + kSocketRoom) << coverage.where();
+  for (const std::string& wrong : coverage.wrongs()) ADD_FAILURE() << wrong;
+  std::cout << "worst bare " << coverage.worst() / 1000 << " ms\n";
   program->signal(SIGTERM);
   EXPECT_EQ(program->wait(), 0);
 }
--- a/tests/zone_server/zones_test.cpp
+++ b/tests/zone_server/zones_test.cpp
@@ -57,7 +57,7 @@
              "bello-2 TXT \"started=1764600000123\" \"kind=m2\" \"colour=red\"\n"
              "_o._tcp SRV 5 0 3000 alias\nalias CNAME bello-2\n_o._tcp SRV 0 0 3000 far.example.net.\n"));
   const ZoneObservation offer = observeZone(
-      z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()), testNames(), 2, 7, 99);
+      z, {"_o._tcp.example.org"}, locality::LocalityMap({everywhere()}, testNames()), testNames(), 2, 7, 99);
   const auto& o = offer.observation;
   EXPECT_EQ(o.source, 2u);
   ASSERT_EQ(o.seen.size(), 3u);
@@ -82,7 +82,7 @@
 TEST(ZoneObservation, OfTwoWordsOnAStateTheCarefulOneHolds) {
   for (const char* texts : {"\"state=ready\" \"state=draining\"", "\"state=draining\" \"state=ready\""}) {
     const dns_zone::Zone z = read(zoneText(1, servers(1, 2) + "bello-1 TXT " + texts + "\n"));
-    const auto o = observeZone(z, {"_o._tcp.example.org"}, locality::Places({everywhere()}, testNames()),
+    const auto o = observeZone(z, {"_o._tcp.example.org"}, locality::LocalityMap({everywhere()}, testNames()),
                                testNames(), 0, 1, 9);
     EXPECT_EQ(o.observation.seen.at(0).state, ServerState::Draining);
   }
