Membership: desired state, published list, evaluation by name

Wish, told, look, touch, sight and heed become Desired, published, reevaluate, markDirty, applySighting and applyAuthority; wishes.cpp is desired_state.cpp.

--- a/src/membership/changes.cpp
+++ b/src/membership/changes.cpp
@@ -1,5 +1,5 @@
-// From wishes to changes of the list: what is told, when a spot is looked at again, and who goes in which
-// step.
+// From desired states to changes of the list: what is told, when a spot is looked at again, and who goes in
+// which step.
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -35,49 +35,49 @@
   }
 }
 
-void Membership::tell(const ServerId& id, const Wish& wish, News& news) {
-  const auto at = told_.find(id);
-  if (!wish.listed) {
-    if (at == told_.end()) return;
+void Membership::publish(const ServerId& id, const Desired& desired, News& news) {
+  const auto at = published_.find(id);
+  if (!desired.listed) {
+    if (at == published_.end()) return;
     ServerEntry gone = at->second.entry;
     ready_ -= gone.state == ServerState::Ready;
     gone.state = ServerState::Gone;
-    told_.erase(at);
+    published_.erase(at);
     news.list.entries.push_back(gone);
-    news.decisions.push_back({id, ServerState::Gone, wish.rule});
+    news.decisions.push_back({id, ServerState::Gone, desired.rule});
     return;
   }
   const bool records = roster_.count(id) == 0;
-  if (at != told_.end()) {
-    at->second.rule = wish.rule;
+  if (at != published_.end()) {
+    at->second.rule = desired.rule;
     const bool own = records || !settings_.rosterWeights;
-    if (sameBut(at->second.entry, wish.entry, own ? settings_.weightMargin : 0)) return;
+    if (sameBut(at->second.entry, desired.entry, own ? settings_.weightMargin : 0)) return;
     ready_ -= at->second.entry.state == ServerState::Ready;
   }
-  told_[id] = {wish.entry, wish.rule};
-  ready_ += wish.entry.state == ServerState::Ready;
-  news.list.entries.push_back(wish.entry);
-  news.decisions.push_back({id, wish.entry.state, wish.rule});
+  published_[id] = {desired.entry, desired.rule};
+  ready_ += desired.entry.state == ServerState::Ready;
+  news.list.entries.push_back(desired.entry);
+  news.decisions.push_back({id, desired.entry.state, desired.rule});
 }
 
-void Membership::lookUid(const ServerId& uid, Micros now, News& news) {
+void Membership::reevaluateUid(const ServerId& uid, Micros now, News& news) {
   const auto at = roster_.find(uid);
   if (at == roster_.end()) {
-    Wish gone;
+    Desired gone;
     gone.rule = Rule::RosterGone;
-    return tell(uid, gone, news);
+    return publish(uid, gone, news);
   }
-  const Wish wish = rosterWish(uid, at->second, now);
-  tell(uid, wish, news);
+  const Desired desired = desiredByRoster(uid, at->second, now);
+  publish(uid, desired, news);
 }
 
-// By its own wish, or, where the roster runs it, by its tier or by the word of an authority that no second
-// answer followed in time.
-bool Membership::waitsForStep(const Spot& spot, const Wish& wish, Micros now) const {
-  if (wish.rule == Rule::Leaving || (wish.rule == Rule::TierLeaving && !spot.tierOut)) return true;
+// By its own desired state, or, where the roster runs it, by its tier or by the word of an authority that no
+// second answer followed in time.
+bool Membership::waitsForStep(const Spot& spot, const Desired& desired, Micros now) const {
+  if (desired.rule == Rule::Leaving || (desired.rule == Rule::TierLeaving && !spot.tierOut)) return true;
   if (spot.uids.empty()) return false;
   const bool byTier = std::any_of(spot.uids.begin(), spot.uids.end(), [&](const ServerId& uid) {
-    return rosterWish(uid, roster_.at(uid), now).rule == Rule::TierLeaving && !spot.tierOut;
+    return desiredByRoster(uid, roster_.at(uid), now).rule == Rule::TierLeaving && !spot.tierOut;
   });
   return byTier || std::any_of(spot.views.begin(), spot.views.end(), [&](const View& v) {
            const bool authority = sources_[static_cast<std::size_t>(&v - spot.views.data())].authority;
@@ -92,37 +92,37 @@
   spot.returns.push_back(now);
 }
 
-void Membership::look(const std::string& endpoint, Micros now, News& news) {
+void Membership::reevaluate(const std::string& endpoint, Micros now, News& news) {
   const auto at = spots_.find(endpoint);
   if (at == spots_.end()) return;
   Spot& spot = at->second;
   const View* view = best(spot, now);
   if (view != nullptr && tierNeeded(spot, *view)) spot.tierOut = false;
-  for (const ServerId& uid : spot.uids) lookUid(uid, now, news);
-  Wish wish = spotWish(endpoint, spot, now);
-  const auto told = told_.find(endpoint);
-  const bool was = told != told_.end();
+  for (const ServerId& uid : spot.uids) reevaluateUid(uid, now, news);
+  Desired desired = desiredByRecords(endpoint, spot, now);
+  const auto told = published_.find(endpoint);
+  const bool was = told != published_.end();
   lastOnes_.erase(endpoint);
   held_.erase(endpoint);
-  if (wish.rule == Rule::FlapHeld) held_.insert(endpoint);
-  if (wish.listed && wish.rule == Rule::TakenBack) spot.takenBack = true;
-  const bool byRecords = wish.rule == Rule::Removed || wish.rule == Rule::RecordsGone;
-  if (was && !wish.listed && byRecords && told->second.entry.state == ServerState::Ready &&
+  if (desired.rule == Rule::FlapHeld) held_.insert(endpoint);
+  if (desired.listed && desired.rule == Rule::TakenBack) spot.takenBack = true;
+  const bool byRecords = desired.rule == Rule::Removed || desired.rule == Rule::RecordsGone;
+  if (was && !desired.listed && byRecords && told->second.entry.state == ServerState::Ready &&
       ready_ <= settings_.keepLeast) {
-    wish.listed = true;
-    wish.entry = told->second.entry;
-    wish.rule = Rule::KeepLeast;
+    desired.listed = true;
+    desired.entry = told->second.entry;
+    desired.rule = Rule::KeepLeast;
     lastOnes_.insert(endpoint);
   }
-  queue(endpoint, spot, waitsForStep(spot, wish, now), now);
-  if (!was && wish.listed && spot.absentAsOf != 0) countReturn(spot, now);
-  tell(endpoint, wish, news);
-  wake(endpoint, spot, wish.until);
+  queue(endpoint, spot, waitsForStep(spot, desired, now), now);
+  if (!was && desired.listed && spot.absentAsOf != 0) countReturn(spot, now);
+  publish(endpoint, desired, news);
+  wake(endpoint, spot, desired.until);
   for (const View& v : spot.views) {
     if (v.present && v.confirmBy > now) wake(endpoint, spot, v.confirmBy);
   }
   if (view != nullptr && view->last.until > now) wake(endpoint, spot, view->last.until);
-  if (view != nullptr || !spot.uids.empty() || told_.count(endpoint) != 0) return;
+  if (view != nullptr || !spot.uids.empty() || published_.count(endpoint) != 0) return;
   // Absent: remembered as long as its coming and going is counted.
   if (spot.forgetAt == 0) spot.forgetAt = now + std::max(settings_.flapSpan, settings_.flapHold);
   if (now < spot.forgetAt) return wake(endpoint, spot, spot.forgetAt);
@@ -154,7 +154,7 @@
         if (v.present && overdue(v, now)) takeOut(endpoint, spot, v, now);
       }
     }
-    look(endpoint, now, news);
+    reevaluate(endpoint, now, news);
   }
 }
 
--- a/src/membership/explain.cpp
+++ b/src/membership/explain.cpp
@@ -3,20 +3,20 @@
 
 namespace peargrade::membership {
 
-Membership::Explained Membership::explained(const ServerId& id, const std::string& endpoint, const Wish& wish,
-                                            Micros now) const {
+Membership::Explained Membership::explained(const ServerId& id, const std::string& endpoint,
+                                            const Desired& desired, Micros now) const {
   Explained e;
   e.endpoint = endpoint;
   e.server = id;
-  const auto told = told_.find(id);
-  e.listed = told != told_.end();
+  const auto told = published_.find(id);
+  e.listed = told != published_.end();
   if (e.listed) {
     e.state = told->second.entry.state;
     e.startedAt = told->second.entry.startedAt;
     e.weight = told->second.entry.weight;
   }
-  e.rule = e.listed && !wish.listed ? told->second.rule : wish.rule;
-  e.until = wish.until;
+  e.rule = e.listed && !desired.listed ? told->second.rule : desired.rule;
+  e.until = desired.until;
   const auto listed = roster_.find(id);
   if (listed != roster_.end())
     e.roster = listed->second.entry.state == ServerState::Ready ? "ready" : "draining";
@@ -39,9 +39,10 @@
 std::vector<Membership::Explained> Membership::explain(Micros now) const {
   std::vector<Explained> all;
   for (const auto& [uid, listed] : roster_)
-    all.push_back(explained(uid, listed.endpoint, rosterWish(uid, listed, now), now));
+    all.push_back(explained(uid, listed.endpoint, desiredByRoster(uid, listed, now), now));
   for (const auto& [endpoint, spot] : spots_) {
-    if (spot.uids.empty()) all.push_back(explained(endpoint, endpoint, spotWish(endpoint, spot, now), now));
+    if (spot.uids.empty())
+      all.push_back(explained(endpoint, endpoint, desiredByRecords(endpoint, spot, now), now));
   }
   return all;
 }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,7 +15,7 @@
     Listed& listed = roster_[k.entry.server];
     listed.entry = k.entry;
     moveSpot(k.entry.server, listed, k.endpoint);
-    told_[k.entry.server] = {k.entry, Rule::Roster};
+    published_[k.entry.server] = {k.entry, Rule::Roster};
     ready_ += k.entry.state == ServerState::Ready;
   }
 }
@@ -27,26 +27,26 @@
     due_.erase(due_.begin());
     const auto at = spots_.find(endpoint);
     if (at != spots_.end()) at->second.wakeAt = 0;
-    touch(endpoint);
+    markDirty(endpoint);
   }
   dirty_.insert(lastOnes_.begin(), lastOnes_.end());
   if (!dirty_.empty() || !dirtyUids_.empty()) retier(now);
-  for (const ServerId& uid : std::exchange(dirtyUids_, {})) lookUid(uid, now, news);
+  for (const ServerId& uid : std::exchange(dirtyUids_, {})) reevaluateUid(uid, now, news);
   const std::set<std::string> spots = std::exchange(dirty_, {});
   // Who comes before who goes: the last ones are judged when all who are there are known.
   std::vector<std::string> out;
   for (const std::string& endpoint : spots) {
     const auto at = spots_.find(endpoint);
     if (at == spots_.end()) continue;
-    if (told_.count(endpoint) != 0 && !spotWish(endpoint, at->second, now).listed)
+    if (published_.count(endpoint) != 0 && !desiredByRecords(endpoint, at->second, now).listed)
       out.push_back(endpoint);
     else
-      look(endpoint, now, news);
+      reevaluate(endpoint, now, news);
   }
-  for (const std::string& endpoint : out) look(endpoint, now, news);
+  for (const std::string& endpoint : out) reevaluate(endpoint, now, news);
   step(now, news);
   if (ready_ < settings_.keepLeast) {
-    for (const std::string& endpoint : std::set<std::string>(held_)) look(endpoint, now, news);
+    for (const std::string& endpoint : std::set<std::string>(held_)) reevaluate(endpoint, now, news);
   }
   dirty_.clear();
   const bool spoken =
@@ -55,7 +55,7 @@
   if (whole_) {
     news.list.mode = ListMode::Full;
     news.list.entries.clear();
-    for (const auto& [id, told] : told_) news.list.entries.push_back(told.entry);
+    for (const auto& [id, told] : published_) news.list.entries.push_back(told.entry);
   } else {
     news.list.mode = ListMode::Delta;
   }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -95,7 +95,7 @@
   std::uint64_t overfull() const {
     return overfull_;
   }  // sightings left out since the start: too many servers
-  std::size_t listed() const { return told_.size(); }
+  std::size_t listed() const { return published_.size(); }
   std::size_t ready() const { return ready_; }
 
  private:
@@ -140,13 +140,13 @@
     bool spoken = false;
     std::map<int, Tier> tiers;
   };
-  struct Wish {
+  struct Desired {
     bool listed = false;
     ServerEntry entry;
     Rule rule = Rule::Records;
     Micros until = 0;  // 0: until something is heard
   };
-  struct Told {
+  struct Published {
     ServerEntry entry;
     Rule rule = Rule::Roster;
   };
@@ -158,11 +158,11 @@
   void moveSpot(const ServerId& uid, Listed& listed, const std::string& endpoint);
   // ---- records.cpp ----
   Spot* spotAt(const std::string& endpoint);
-  bool sight(std::size_t source, const Sighting& s, Micros asOf, bool warm);
+  bool applySighting(std::size_t source, const Sighting& s, Micros asOf, bool warm);
   void noteStart(Spot& spot, const Sighting& s, Micros asOf, bool warm) const;
   static bool changes(const Spot& spot, const View& view, const Sighting& s, Micros asOf);
   static void update(View& view, const Source& from, const Sighting& s, Micros asOf);
-  void heed(Spot& spot, const View& view, const Sighting& s);
+  void applyAuthority(Spot& spot, const View& view, const Sighting& s);
   void leaveOut(const Observation& o, Micros now);
   void takeOut(const std::string& endpoint, Spot& spot, View& view, Micros asOf);
   bool overdue(const View& view, Micros now) const;
@@ -170,31 +170,32 @@
   // ---- tiers.cpp ----
   void recount(std::size_t source, Micros now);
   void retier(Micros now);
-  void touchTier(std::size_t source, int tier);
+  void markTierDirty(std::size_t source, int tier);
   Micros startedAgain(const Spot& spot) const;
   bool usable(const Spot& spot) const;
   double weightOf(const Spot& spot, const View& view) const;
   bool tierNeeded(const Spot& spot, const View& view) const;
-  // ---- wishes.cpp ----
+  // ---- desired_state.cpp ----
   const View* best(const Spot& spot, Micros now) const;
   bool drained(const Spot& spot, Micros startedAt) const;
-  void applyTier(const Spot& spot, const View& view, bool told, Wish& wish) const;
-  void applyLifetime(const Spot& spot, const View& view, Micros now, Wish& wish) const;
+  void applyTier(const Spot& spot, const View& view, bool told, Desired& desired) const;
+  void applyLifetime(const Spot& spot, const View& view, Micros now, Desired& desired) const;
   std::optional<std::pair<Rule, Micros>> holdBack(const Spot& spot, Micros now) const;
-  Wish rosterWish(const ServerId& uid, const Listed& listed, Micros now) const;
-  Wish spotWish(const std::string& endpoint, const Spot& spot, Micros now) const;
+  Desired desiredByRoster(const ServerId& uid, const Listed& listed, Micros now) const;
+  Desired desiredByRecords(const std::string& endpoint, const Spot& spot, Micros now) const;
   // ---- changes.cpp ----
-  void look(const std::string& endpoint, Micros now, News& news);
-  void lookUid(const ServerId& uid, Micros now, News& news);
-  bool waitsForStep(const Spot& spot, const Wish& wish, Micros now) const;
+  void reevaluate(const std::string& endpoint, Micros now, News& news);
+  void reevaluateUid(const ServerId& uid, Micros now, News& news);
+  bool waitsForStep(const Spot& spot, const Desired& desired, Micros now) const;
   void countReturn(Spot& spot, Micros now) const;
-  void tell(const ServerId& id, const Wish& wish, News& news);
+  void publish(const ServerId& id, const Desired& desired, News& news);
   void step(Micros now, News& news);
   void queue(const std::string& endpoint, Spot& spot, bool leave, Micros now);
   void wake(const std::string& endpoint, Spot& spot, Micros at);
-  void touch(const std::string& endpoint) { dirty_.insert(endpoint); }
+  void markDirty(const std::string& endpoint) { dirty_.insert(endpoint); }
   // ---- explain.cpp ----
-  Explained explained(const ServerId& id, const std::string& endpoint, const Wish& wish, Micros now) const;
+  Explained explained(const ServerId& id, const std::string& endpoint, const Desired& desired,
+                      Micros now) const;
   static std::string textOf(const View& v, Micros now);
 
   Settings settings_;
@@ -206,9 +207,9 @@
   std::map<ServerId, Listed> roster_;
   std::map<std::string, Micros> knownStart_;  // by endpoint
 
-  std::map<ServerId, Told> told_;  // Ready and Draining
+  std::map<ServerId, Published> published_;  // Ready and Draining
   std::size_t ready_ = 0;
-  std::set<std::string> dirty_;     // spots to look at
+  std::set<std::string> dirty_;     // spots to evaluate again
   std::set<ServerId> dirtyUids_;    // of the roster
   std::set<std::string> lastOnes_;  // kept by KeepLeast: looked at again each time
   std::set<std::string> held_;      // by FlapHeld: wanted at once should nobody be left
--- a/src/membership/records.cpp
+++ b/src/membership/records.cpp
@@ -66,26 +66,26 @@
 }
 
 // What a source with authority says beyond the address: a start, the end of a drain, that it is back.
-void Membership::heed(Spot& spot, const View& view, const Sighting& s) {
+void Membership::applyAuthority(Spot& spot, const View& view, const Sighting& s) {
   if (s.startedAt > 0 && s.startedAt != spot.startedAt) {
     spot.startedAt = s.startedAt;
-    touch(s.endpoint);
+    markDirty(s.endpoint);
   }
   // A drain ends with a new start only: said, or seen as a going and a coming.
   const bool again = s.startedAt > spot.drainedAt || view.absentAt > spot.drainedAt;
   if (spot.drainedAt != 0 && s.state == ServerState::Ready && again) {
     spot.drainedAt = 0;
-    touch(s.endpoint);
+    markDirty(s.endpoint);
   }
   // What it took out itself it may put back: cold, as it was absent.
   if (spot.goneAt != 0 && spot.goneByRecords && view.appearedAt > spot.goneAt) {
     spot.goneAt = 0;
-    touch(s.endpoint);
+    markDirty(s.endpoint);
   }
 }
 
 // False where no more servers are held.
-bool Membership::sight(std::size_t source, const Sighting& s, Micros asOf, bool warm) {
+bool Membership::applySighting(std::size_t source, const Sighting& s, Micros asOf, bool warm) {
   Spot* const at = spotAt(s.endpoint);
   if (at == nullptr) return false;
   Spot& spot = *at;
@@ -95,17 +95,17 @@
   const bool anewDrained = !view.present || view.goneAsOf != 0 || view.last.state != ServerState::Draining;
   if (authority && s.state == ServerState::Draining && (spot.drainedAt == 0 || anewDrained)) {
     spot.drainedAt = asOf;
-    touch(s.endpoint);
+    markDirty(s.endpoint);
   }
   noteStart(spot, s, asOf, warm);
   const bool changed = changes(spot, view, s, asOf);
   update(view, sources_[source], s, asOf);
-  if (authority) heed(spot, view, s);
+  if (authority) applyAuthority(spot, view, s);
   view.seenAt = std::max(view.seenAt, asOf);
   view.confirmBy = 0;
   view.goneAsOf = 0;
   spot.forgetAt = 0;
-  if (changed) touch(s.endpoint);
+  if (changed) markDirty(s.endpoint);
   return true;
 }
 
@@ -127,7 +127,7 @@
     spot.absentAsOf = std::max(spot.absentAsOf, asOf);
     knownStart_.erase(endpoint);
   }
-  touch(endpoint);
+  markDirty(endpoint);
 }
 
 // What a complete answer does not list. If that would take much of the pool at once, it waits for a second
@@ -144,8 +144,8 @@
     const bool alone = std::none_of(spot.views.begin(), spot.views.end(),
                                     [&](const View& v) { return &v != &view && v.present; });
     const auto isReady = [&](const ServerId& id) {
-      const auto told = told_.find(id);
-      return told != told_.end() && told->second.entry.state == ServerState::Ready;
+      const auto told = published_.find(id);
+      return told != published_.end() && told->second.entry.state == ServerState::Ready;
     };
     const bool authority = sources_[o.source].authority;
     const bool takes = ((alone || authority) && isReady(endpoint)) ||
@@ -166,7 +166,7 @@
     } else {
       view.goneAsOf = o.asOf;
       view.confirmBy = now + settings_.confirmWithin;
-      touch(endpoint);
+      markDirty(endpoint);
     }
   }
 }
@@ -177,7 +177,7 @@
   if (o.asOf < source.lastComplete) return;  // a later answer has said all there is
   const bool complete = o.kind == Observation::Kind::Complete;
   const bool warm = complete && !source.spoken && settings_.firstAnswerWarm;
-  for (const Sighting& s : o.seen) overfull_ += !sight(o.source, s, o.asOf, warm);
+  for (const Sighting& s : o.seen) overfull_ += !applySighting(o.source, s, o.asOf, warm);
   if (complete) {
     leaveOut(o, now);
     if (o.asOf > source.lastComplete) source.previousComplete = std::exchange(source.lastComplete, o.asOf);
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -11,14 +11,14 @@
   const auto old = spots_.find(listed.endpoint);
   if (!listed.endpoint.empty() && old != spots_.end()) {
     old->second.uids.erase(uid);
-    touch(listed.endpoint);
+    markDirty(listed.endpoint);
   }
   listed.endpoint = endpoint;
   if (endpoint.empty()) return;
   Spot& spot = spots_[endpoint];
   spot.views.resize(sources_.size());
   spot.uids.insert(uid);
-  touch(endpoint);
+  markDirty(endpoint);
 }
 
 // Gone by the roster: records that were there before do not bring it back.
@@ -33,7 +33,7 @@
       spot->second.goneByRecords = false;
       spot->second.takenBack = false;
     }
-    touch(spot->first);
+    markDirty(spot->first);
   }
   roster_.erase(at);
   dirtyUids_.insert(uid);
@@ -65,7 +65,7 @@
     if (!spot.goneByRecords || e.entry.startedAt > spot.goneAt) spot.goneAt = 0;
   }
   dirtyUids_.insert(e.entry.server);
-  if (!e.endpoint.empty()) touch(e.endpoint);
+  if (!e.endpoint.empty()) markDirty(e.endpoint);
 }
 
 void Membership::roster(ListMode mode, const std::vector<RosterEntry>& entries, Micros now) {
@@ -84,7 +84,7 @@
   }
   if (rosterSpoke_) return;
   rosterSpoke_ = true;  // what waited for it may come
-  for (const auto& [endpoint, spot] : spots_) touch(endpoint);
+  for (const auto& [endpoint, spot] : spots_) markDirty(endpoint);
 }
 
 }  // namespace peargrade::membership
--- a/src/membership/tiers.cpp
+++ b/src/membership/tiers.cpp
@@ -63,13 +63,13 @@
   }
   if (!moved) return;
   for (const auto& [endpoint, spot] : spots_) {
-    if (spot.views[source].present) touch(endpoint);
+    if (spot.views[source].present) markDirty(endpoint);
   }
 }
 
-void Membership::touchTier(std::size_t source, int tier) {
+void Membership::markTierDirty(std::size_t source, int tier) {
   for (const auto& [endpoint, spot] : spots_) {
-    if (spot.views[source].present && spot.views[source].last.tier == tier) touch(endpoint);
+    if (spot.views[source].present && spot.views[source].last.tier == tier) markDirty(endpoint);
   }
 }
 
@@ -87,7 +87,7 @@
       Tier& t = at->second;
       const bool was = t.used;
       t.used = had == 0 || above < (was ? settings_.tierBack : settings_.tierLeast) * had;
-      if (t.used != was) touchTier(k, at->first);
+      if (t.used != was) markTierDirty(k, at->first);
       above += static_cast<double>(t.usable);
       had += static_cast<double>(t.peak);
       at = t.present == 0 && t.peak == 0 ? s.tiers.erase(at) : std::next(at);
