Doc comments on the public types that had none

82 public types and functions of the resolver, the zones, the membership, the sources, the operator's file and the store had no comment of their own. Each says what it is, its units and, where it has one, its RFC. Comments only.

--- a/src/dns/cache.h
+++ b/src/dns/cache.h
@@ -25,6 +25,7 @@
   Micros until = 0;  // end of its lifetime
 };
 
+// Answers by question, bounded in entries and bytes. Times in microseconds of one clock.
 class Cache {
  public:
   explicit Cache(const Settings& settings) : settings_(settings) {}
--- a/src/dns/lookup_schedule.h
+++ b/src/dns/lookup_schedule.h
@@ -8,6 +8,7 @@
 
 namespace peargrade::dns {
 
+// The schedule of one service. Times in microseconds.
 class LookupSchedule {
  public:
   explicit LookupSchedule(const Settings& settings) : settings_(settings) {}
--- a/src/dns/message.h
+++ b/src/dns/message.h
@@ -11,6 +11,7 @@
 
 namespace peargrade::dns {
 
+// RFC 1035, section 3.2.2; AAAA: RFC 3596; SRV: RFC 2782.
 enum class Type : std::uint16_t { A = 1, CNAME = 5, SOA = 6, AAAA = 28, SRV = 33 };
 const char* nameOf(Type type);
 
@@ -18,6 +19,7 @@
 std::string canonical(std::string name);
 bool isName(const std::string& name);  // could stand in a question (RFC 1035, section 2.3.4)
 
+// What is asked of a name server, of class IN.
 struct Question {
   std::string name;  // canonical
   Type type = Type::A;
@@ -26,6 +28,7 @@
   std::string text() const { return name + " " + nameOf(type); }
 };
 
+// One record of an answer.
 struct Record {
   Type type = Type::A;
   std::uint32_t ttl = 0;  // seconds; with its highest bit set it counts as 0 (RFC 2181, section 8)
@@ -37,6 +40,7 @@
   }
 };
 
+// What a response, or its absence, means for the question.
 enum class Verdict {
   Answer,     // records of the type that was asked, at the name or at the end of its chain
   NoData,     // the name is there, the type is not
@@ -53,8 +57,10 @@
   Contradiction,  // says two things of one name
   TooMany,        // more records than may be
 };
+// As logs and answers have it: "nxdomain".
 const char* nameOf(Verdict verdict);
 
+// What one response says.
 struct Answer {
   Verdict verdict = Verdict::Malformed;
   std::vector<Record> records;     // of the type asked, each once, in an order of their own
@@ -64,6 +70,7 @@
   int unasked = 0;                 // records left out: other names, types, classes
 };
 
+// What a response may hold at most.
 struct Bounds {
   std::size_t records = 4096;
   int chain = 8;
--- a/src/dns/query.h
+++ b/src/dns/query.h
@@ -10,6 +10,7 @@
 
 namespace peargrade::dns {
 
+// One question on its way from server to server, over UDP and TCP. Times in microseconds.
 class Query {
  public:
   struct Step {
--- a/src/dns/resolver.h
+++ b/src/dns/resolver.h
@@ -17,6 +17,7 @@
 
 namespace peargrade::dns {
 
+// A stub resolver with a cache (RFC 1034, section 5.3.1). Times in microseconds.
 class Resolver {
  public:
   using Told = std::function<void(const Result&)>;
--- a/src/dns/servers.h
+++ b/src/dns/servers.h
@@ -8,6 +8,7 @@
 
 namespace peargrade::dns {
 
+// What the name servers did lately, by their number. Times in microseconds.
 class Servers {
  public:
   explicit Servers(std::size_t count) : servers_(count) {}
--- a/src/dns/settings.h
+++ b/src/dns/settings.h
@@ -7,6 +7,7 @@
 
 namespace peargrade::dns {
 
+// The `dns` block of the operator's file.
 struct Settings {
   std::vector<net::Address> servers;  // asked in the order of what they did lately
   Micros tryFor = 400000;             // the first wait for an answer over UDP; doubled a try
--- a/src/dns/srv.h
+++ b/src/dns/srv.h
@@ -11,6 +11,7 @@
 
 namespace peargrade::dns {
 
+// One SRV record with the addresses of its target.
 struct Target {
   std::string name;  // canonical
   std::uint16_t priority = 0, weight = 0, port = 0;
@@ -19,6 +20,7 @@
   Micros until = 0;                    // end of the least lifetime of what it rests on
 };
 
+// All targets of a service. Times in microseconds of one clock.
 struct Service {
   enum class Kind {
     Complete,  // all records of the service
@@ -30,6 +32,7 @@
   std::vector<Target> targets;
 };
 
+// One lookup: give it the answers of what it asks until it is done.
 class SrvLookup {
  public:
   explicit SrvLookup(const std::string& name) : name_(canonical(name)) {}
--- a/src/dns_zone/first_seen.h
+++ b/src/dns_zone/first_seen.h
@@ -11,11 +11,13 @@
 
 namespace peargrade::dns_zone {
 
+// A server at this address and port ("10.1.0.18:3000"), offered since then (Unix microseconds).
 struct EndpointSince {
   std::string endpoint;
   Micros since = 0;
 };
 
+// When each server of a zone was first offered. Times in Unix microseconds.
 class FirstSeen {
  public:
   static constexpr Micros kLongAgo =
--- a/src/dns_zone/master_file.h
+++ b/src/dns_zone/master_file.h
@@ -11,6 +11,7 @@
 
 namespace peargrade::dns_zone {
 
+// One mistake in a zone file; line and column count from 1.
 struct Mistake {
   std::string file;
   std::size_t line = 1, column = 1;
@@ -21,6 +22,7 @@
   }
 };
 
+// What became of reading a zone file.
 struct Reading {
   Zone zone;
   std::vector<Mistake> mistakes;   // in the order of the files; the zone counts only where there are none
@@ -32,6 +34,7 @@
 // it cannot be read.
 using ReadFile = std::function<bool(const std::string& path, std::string& text, std::string& why)>;
 
+// What a zone file may hold at most, over all files that it includes.
 struct MasterFileBounds {
   std::size_t records = 1000000;
   int includes = 8;            // one within another
--- a/src/dns_zone/message.h
+++ b/src/dns_zone/message.h
@@ -11,7 +11,9 @@
 
 namespace peargrade::dns_zone {
 
+// RFC 1035, section 4.1.1; Notify: RFC 1996; Update: RFC 2136.
 enum class Opcode { Query = 0, Notify = 4, Update = 5 };
+// Response codes (RFC 1035, section 4.1.1; RFC 2136, section 2.2).
 enum class Rcode {
   NoError = 0,
   FormErr = 1,
@@ -25,6 +27,7 @@
   NotAuth = 9,
   NotZone = 10,
 };
+// As the RFCs write it: "NXDOMAIN".
 const char* nameOf(Rcode rcode);
 
 inline constexpr std::uint16_t kIn = 1, kClassNone = 254, kClassAny = 255;
@@ -37,8 +40,10 @@
   std::uint32_t ttl = 0;
   std::string data;
 };
+// A record of a zone as messages have it, of class IN.
 RawRecord rawOf(const Record& record);
 
+// A DNS message without its wire form.
 struct Message {
   std::uint16_t id = 0;
   bool response = false, authoritative = false, truncated = false;
@@ -54,6 +59,7 @@
   RawRecord tsig;
 };
 
+// What a message may hold at most.
 struct MessageBounds {
   std::size_t records = 20000;
 };
--- a/src/dns_zone/secondary.h
+++ b/src/dns_zone/secondary.h
@@ -10,6 +10,7 @@
 
 namespace peargrade::dns_zone {
 
+// The timers and the choice of primary of one zone that is followed. Times in Unix microseconds.
 class Secondary {
  public:
   struct Settings {
--- a/src/dns_zone/serial_policy.h
+++ b/src/dns_zone/serial_policy.h
@@ -9,6 +9,7 @@
 
 namespace peargrade::dns_zone {
 
+// What a zone that came is beside the one in force.
 enum class SerialVerdict {
   First,       // there was none
   Same,        // nothing changed
@@ -17,11 +18,13 @@
   Backwards,   // an earlier serial, or one half the circle away
   SameSerial,  // the same serial with other content
 };
+// As logs have it: "serial-backwards".
 const char* codeOf(SerialVerdict verdict);
 inline bool replacesZone(SerialVerdict j) {
   return j == SerialVerdict::First || j == SerialVerdict::Newer || j == SerialVerdict::Accepted;
 }
 
+// Judges zones by their serials, and words a refusal once.
 class SerialPolicy {
  public:
   // `accepted`: the serial that an operator has accepted, if any.
--- a/src/dns_zone/snapshot.h
+++ b/src/dns_zone/snapshot.h
@@ -23,20 +23,24 @@
   std::int64_t at = 0;     // when it was accepted
 };
 
+// One change of a zone, with the request that brought it.
 struct JournalEntry {
   Difference change;
   AnsweredRequest request;
 };
 
+// decodeJournalEntry gives nothing where the bytes are no entry.
 std::string encodeJournalEntry(const JournalEntry& entry);
 std::optional<JournalEntry> decodeJournalEntry(const std::string& bytes);
 
+// All that is kept of a zone.
 struct Snapshot {
   Zone zone;
   std::vector<AnsweredRequest> requests;
   std::vector<EndpointSince> firstSeen;
   Micros freshAt = 0;  // of a secondary: when its primary was last known to have nothing newer
 };
+// decodeSnapshot gives nothing where the bytes are no snapshot.
 std::string encodeSnapshot(const Zone& zone, const std::vector<AnsweredRequest>& requests,
                            const std::vector<EndpointSince>& firstSeen = {}, Micros freshAt = 0);
 std::optional<Snapshot> decodeSnapshot(const std::string& bytes);
--- a/src/dns_zone/transfer.h
+++ b/src/dns_zone/transfer.h
@@ -10,6 +10,7 @@
 
 namespace peargrade::dns_zone {
 
+// Takes one transfer in; its zone counts once the state is Done.
 class Transfer {
  public:
   // `now`: the zone that changes would build on; null: the whole is asked for.
--- a/src/dns_zone/tsig.h
+++ b/src/dns_zone/tsig.h
@@ -28,9 +28,11 @@
   std::size_t size_ = 0, mapped_ = 0;
 };
 
+// RFC 8945, section 6.
 enum class Algorithm { HmacSha256, HmacSha512 };
 const char* nameOf(Algorithm algorithm);  // as on the wire: "hmac-sha256"
 
+// A shared key and the time in which it holds.
 struct Key {
   std::string name;  // canonical
   Algorithm algorithm = Algorithm::HmacSha256;
@@ -50,8 +52,10 @@
   std::map<std::string, Key> keys_;
 };
 
+// The error field of a TSIG record (RFC 8945, section 3).
 enum class TsigError { None = 0, BadSig = 16, BadKey = 17, BadTime = 18, BadTrunc = 22 };
 
+// What checking a signature has led to.
 struct Checked {
   Rcode rcode = Rcode::NoError;  // FormErr or NotAuth where it is not good
   TsigError error = TsigError::None;
--- a/src/dns_zone/update.h
+++ b/src/dns_zone/update.h
@@ -9,6 +9,7 @@
 
 namespace peargrade::dns_zone {
 
+// What an update has led to.
 struct Applied {
   Rcode rcode = Rcode::NoError;
   std::string why;    // for the log, where it is not NoError
--- a/src/dns_zone/update_processor.h
+++ b/src/dns_zone/update_processor.h
@@ -15,18 +15,21 @@
 
 namespace peargrade::dns_zone {
 
+// Which key may change which names and types.
 struct Grant {
   std::string key;       // canonical name
   std::string name;      // "a.example.org", or "*.example.org": it and all below
   std::set<Type> types;  // empty: all
 };
 
+// Grants, and how many updates are held at most.
 struct UpdateProcessorSettings {
   std::vector<Grant> grants;
   std::size_t remembered = 100000;  // requests that may be sent again; when full, updates wait for room
   std::size_t pending = 4096;       // accepted and not on disk yet
 };
 
+// The updates of one zone. Times in Unix seconds unless they are Micros.
 class UpdateProcessor {
  public:
   using Ticket = std::uint64_t;
--- a/src/dns_zone/zone.h
+++ b/src/dns_zone/zone.h
@@ -23,6 +23,7 @@
           name.compare(name.size() - origin.size(), origin.size(), origin) == 0);
 }
 
+// All records of a zone, by name and type.
 class Zone {
  public:
   struct Key {
@@ -75,6 +76,7 @@
   std::vector<Record> removed, added;
   bool empty() const { return removed.empty() && added.empty(); }
 };
+// What makes `to` of `from`.
 Difference difference(const Zone& from, const Zone& to);
 
 }  // namespace peargrade::dns_zone
--- a/src/files/files.h
+++ b/src/files/files.h
@@ -9,6 +9,7 @@
 
 namespace peargrade::files {
 
+// Whether work on a file was done; why not, for the log.
 struct Outcome {
   bool ok = true;
   bool missing = false;  // there is no such file
@@ -16,6 +17,7 @@
   explicit operator bool() const { return ok; }
 };
 
+// Files of one folder, by names without a path; every call says in its Outcome whether it was done.
 class Files {
  public:
   virtual ~Files() = default;
--- a/src/files/store.h
+++ b/src/files/store.h
@@ -12,6 +12,7 @@
 
 namespace peargrade::files {
 
+// One store; every call says in its result whether it was done.
 class Store {
  public:
   // `name` begins the names of its files; `version` stands in each and is told apart when read.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -20,6 +20,7 @@
 
 namespace peargrade::membership {
 
+// One server as the roster lists it.
 struct RosterEntry {
   ServerEntry entry;
   std::string endpoint;  // "10.1.0.18:3000"; "": not told
@@ -37,6 +38,7 @@
   Micros startedAt = 0;                    // 0: not said; another source's counts when it is first seen only
 };
 
+// What one source of records said at one moment.
 struct Observation {
   enum class Kind {
     Complete,  // all that there is: what it leaves out is not offered any more
@@ -48,17 +50,20 @@
   std::set<std::string> unsure;  // targets whose addresses are not known: none of theirs counts as left out
 };
 
+// A server that changed, and the rule that decided it.
 struct Decision {
   ServerId server;
   ServerState state = ServerState::Ready;
   Rule rule = Rule::Roster;
 };
 
+// A change of the list for the module, and why.
 struct News {
   ListNews list;
   std::vector<Decision> decisions;  // of what changed
 };
 
+// The list and all that is known of it. Times in microseconds of one clock.
 class Membership {
  public:
   // `authority`: of each source of records, whether it has any. `known`: the list as the configuration has
--- a/src/membership/settings.h
+++ b/src/membership/settings.h
@@ -7,6 +7,7 @@
 
 namespace peargrade::membership {
 
+// The `merge` block of the operator's file; shares from 0 to 1.
 struct Settings {
   Micros staleFor = 60000000;       // what one source without authority alone knew goes so long after its end
   double stepShare = 0.1;           // and then at most this share of the pool at a time (at least one)
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -26,6 +26,7 @@
   int podGroup = 0;
 };
 
+// A service that is looked up by its SRV records (RFC 2782).
 struct Srv {
   std::string label;  // names it in logs and answers
   std::string name;   // "_orders._tcp.example.org"
@@ -55,6 +56,7 @@
   std::size_t remembered = 100000, pending = 4096, connections = 64;
 };
 
+// All that the file says.
 struct Operator {
   bool roster = true;  // discovery over HTTP is one of the sources
   dns::Settings dns;
@@ -65,6 +67,7 @@
   bool sources() const { return !srv.empty() || !zones.empty(); }
 };
 
+// Every block and field that the file may hold.
 const Block& schema();
 
 // Throws ParseError. `file` stands in its lines. `names`: of the configuration; with it zones and kinds are
--- a/src/operator/schema.h
+++ b/src/operator/schema.h
@@ -11,6 +11,7 @@
 
 namespace peargrade::op {
 
+// What a field holds, and in which unit it is read.
 enum class Kind {
   Duration,  // "400ms": us, ms, s, m, h, d; read in microseconds
   Size,      // "64KiB": B, KiB, MiB, GiB; read in bytes
@@ -22,8 +23,10 @@
   Flag,     // true or false
 };
 
+// Where a field stands in its block.
 enum class Form { Node, Argument, Property };  // `name value`, a value of the block, `name=value`
 
+// One declared setting.
 struct Field {
   std::string name;
   Kind kind = Kind::Text;
@@ -35,6 +38,7 @@
   std::string says;  // for people, one line
 };
 
+// A declared block of settings.
 struct Block {
   std::string name;
   bool many = false;
@@ -43,6 +47,7 @@
   std::string says;
 };
 
+// A field as it was read.
 struct Read {
   std::string text;
   double number = 0;  // Duration, Size, Count, Share
@@ -65,6 +70,7 @@
   const Section& block(const std::string& name) const { return blocks.at(name).at(0); }
 };
 
+// One mistake in the file.
 struct Complaint {
   kdl::Place place;
   std::string where;  // "sources.dns.timeout"
--- a/src/sources/front.h
+++ b/src/sources/front.h
@@ -29,6 +29,7 @@
   std::function<Micros()> clock;  // Unix time that never jumps
 };
 
+// The sources while the program serves; it posts the list to the exchange.
 class Front {
  public:
   virtual ~Front() = default;
@@ -41,12 +42,14 @@
 };
 
 using zone_server::ZoneCommand;
+// One command line of `peargrade srv lookup`. Times in microseconds.
 struct LookupCommand {
   std::string name;
   std::vector<std::string> servers;
   bool json = false;
   Micros within = 6000000;
 };
+// One command line of `peargrade sources explain`. Times in microseconds.
 struct ExplainCommand {
   std::string discovery;  // address; "": the roster is left out
   bool json = false;
--- a/src/sources/sources.h
+++ b/src/sources/sources.h
@@ -15,9 +15,11 @@
 
 namespace peargrade::sources {
 
+// The entries with the endpoint that stands at the same place; "" where there is none.
 std::vector<membership::RosterEntry> withEndpoints(const ListNews& news,
                                                    const std::vector<std::string>& endpoints);
 
+// All sources of one supervisor and the membership that they lead to.
 class Sources : public Front {
  public:
   Sources(const Surroundings& around, dns::Resolver::Random random);
--- a/src/zone_server/disk.h
+++ b/src/zone_server/disk.h
@@ -38,6 +38,7 @@
   files::Outcome outcome;
   std::size_t journalBytes = 0, snapshotBytes = 0;
 };
+// Each durable where its outcome is ok; an outcome that is not says why.
 Written appendEntries(DiskStore& disk, const std::vector<std::string>& entries);
 Written writeSnapshot(DiskStore& disk, const std::string& snapshot);
 
--- a/src/zone_server/listener.h
+++ b/src/zone_server/listener.h
@@ -12,6 +12,8 @@
 
 namespace peargrade::zone_server {
 
+// One address, UDP and TCP (length prefix: RFC 1035, section 4.2.2). Throws std::runtime_error where the
+// address cannot be had.
 class Listener {
  public:
   using Reply = std::function<void(const std::string&)>;  // once at most; nothing where the peer has gone
--- a/src/zone_server/transfer_client.h
+++ b/src/zone_server/transfer_client.h
@@ -14,6 +14,7 @@
 
 namespace peargrade::zone_server {
 
+// Follows one zone from its primaries. Its limits are in microseconds.
 class TransferClient {
  public:
   struct Limits {
--- a/src/zone_server/worker.h
+++ b/src/zone_server/worker.h
@@ -13,6 +13,7 @@
 
 namespace peargrade::zone_server {
 
+// A thread and its queue of jobs; run() is called from the loop.
 class Worker {
  public:
   using Done = std::function<void()>;
--- a/src/zone_server/zone_observation.h
+++ b/src/zone_server/zone_observation.h
@@ -23,6 +23,7 @@
   std::vector<std::string> notes;
 };
 
+// Of the services (names of SRV records) of a zone. `asOf`, `until`: Unix microseconds.
 ZoneObservation observeZone(const dns_zone::Zone& zone, const std::vector<std::string>& services,
                             const locality::LocalityMap& places, const discovery::Names& names,
                             std::size_t source, Micros asOf, Micros until,
--- a/src/zone_server/zone_source.h
+++ b/src/zone_server/zone_source.h
@@ -18,6 +18,7 @@
 
 namespace peargrade::zone_server {
 
+// One zone of the operator's file, from its start to its end.
 class ZoneSource {
  public:
   using Observe = std::function<void(const membership::Observation&)>;
@@ -48,7 +49,7 @@
   static constexpr Micros kGather = 20000;       // changes of a burst become one change of the list
   static constexpr std::size_t kLinesMost = 10;  // in the log for one state of the zone
 
-  // ---- zonesource.cpp: the start, and a new zone in place of the old one ----
+  // ---- zone_source.cpp: the start, and a new zone in place of the old one ----
   void load();
   void loaded(StoredZone& stored);
   void restore(StoredZone& stored);
