--- a/standins/faultyfiles.cpp
+++ b/standins/faultyfiles.cpp
@@ -86,18 +86,22 @@
   return o;
 }
 
-Outcome FaultyFiles::write(const std::string& name, const std::string& bytes) {
-  Outcome o;
-  double part;
-  if (!begin(o, part) && part == 0) return o;
-  if (down_ && part == 1) return o;
+// Of the file with this name, made if there is none.
+std::string& FaultyFiles::contents(const std::string& name) {
   auto at = names_.find(name);
   if (at == names_.end()) {
     inodes_.emplace_back();
     at = names_.emplace(name, inodes_.size() - 1).first;
   }
-  inodes_[at->second].now =
-      bytes.substr(0, static_cast<std::size_t>(part * static_cast<double>(bytes.size())));
+  return inodes_[at->second].now;
+}
+
+Outcome FaultyFiles::write(const std::string& name, const std::string& bytes) {
+  Outcome o;
+  double part;
+  if (!begin(o, part) && part == 0) return o;
+  if (down_ && part == 1) return o;
+  contents(name) = bytes.substr(0, static_cast<std::size_t>(part * static_cast<double>(bytes.size())));
   return o;
 }
 
@@ -106,13 +110,7 @@
   double part;
   if (!begin(o, part) && part == 0) return o;
   if (down_ && part == 1) return o;
-  auto at = names_.find(name);
-  if (at == names_.end()) {
-    inodes_.emplace_back();
-    at = names_.emplace(name, inodes_.size() - 1).first;
-  }
-  inodes_[at->second].now +=
-      bytes.substr(0, static_cast<std::size_t>(part * static_cast<double>(bytes.size())));
+  contents(name) += bytes.substr(0, static_cast<std::size_t>(part * static_cast<double>(bytes.size())));
   return o;
 }
 
--- a/standins/faultyfiles.h
+++ b/standins/faultyfiles.h
@@ -57,6 +57,7 @@
   // False: the operation is not carried out, and `outcome` says how it ends. `part`: of its bytes that are
   // written.
   bool begin(files::Outcome& outcome, double& part);
+  std::string& contents(const std::string& name);
 
   std::vector<Inode> inodes_;
   std::map<std::string, std::size_t> names_, durableNames_;
--- a/tests/dns_zone/transfer_test.cpp
+++ b/tests/dns_zone/transfer_test.cpp
@@ -7,19 +7,13 @@
 #include <random>
 
 #include "dns_zone/secondary.h"
+#include "dns_zone/test_records.h"
 
 namespace peargrade::dns_zone {
 namespace {
 
 constexpr Micros kSecond = 1000000;
 
-Record soa(std::uint32_t serial) {
-  Record r{"example.org", Type::SOA, 60, ""};
-  const char* const words[] = {"ns.example.org", "h.example.org", "1", "3600", "600", "86400", "30"};
-  for (std::size_t k = 0; k < 7; ++k) r.data += *encodeField(Type::SOA, k, words[k]);
-  r.data = withSerial(r.data, serial);
-  return r;
-}
 Zone version(std::uint32_t serial, unsigned seed) {
   Zone z("example.org");
   z.add(soa(serial));
--- a/tests/dns_zone/zone_test.cpp
+++ b/tests/dns_zone/zone_test.cpp
@@ -5,16 +5,11 @@
 
 #include <random>
 
+#include "dns_zone/test_records.h"
+
 namespace peargrade::dns_zone {
 namespace {
 
-Record soa(std::uint32_t serial) {
-  Record r{"example.org", Type::SOA, 60, ""};
-  const char* const words[] = {"ns.example.org", "h.example.org", "1", "3600", "600", "86400", "30"};
-  for (std::size_t k = 0; k < 7; ++k) r.data += *encodeField(Type::SOA, k, words[k]);
-  r.data = withSerial(r.data, serial);
-  return r;
-}
 Record a(const std::string& name, const std::string& address, std::uint32_t ttl = 60) {
   return {name, Type::A, ttl, *encodeField(Type::A, 0, address)};
 }
--- a/tests/sources/sources_test.cpp
+++ b/tests/sources/sources_test.cpp
@@ -8,6 +8,7 @@
 
 #include "standins/nameserver.h"
 #include "support/loop.h"
+#include "support/server_list.h"
 
 namespace peargrade::sources {
 namespace {
@@ -100,15 +101,7 @@
   // What the module holds.
   std::map<ServerId, ServerState> list() {
     seen.take(exchange);
-    std::map<ServerId, ServerState> all;
-    for (const ListNews& news : seen.all<ListNews>()) {
-      if (news.mode == ListMode::Full) all.clear();
-      for (const ServerEntry& e : news.entries) {
-        all[e.server] = e.state;
-        if (e.state == ServerState::Gone) all.erase(e.server);
-      }
-    }
-    return all;
+    return serverList(seen);
   }
 };
 
--- a/tests/zone_server/zones_test.cpp
+++ b/tests/zone_server/zones_test.cpp
@@ -11,6 +11,7 @@
 #include "dns_zone/update.h"
 #include "sources/sources.h"
 #include "support/loop.h"
+#include "support/server_list.h"
 #include "zone_server/key_file.h"
 #include "zone_server/update_script.h"
 
@@ -263,15 +264,7 @@
   const Micros began = net::steadyNow();
   std::map<ServerId, ServerState> list() {
     seen.take(exchange);
-    std::map<ServerId, ServerState> all;
-    for (const ListNews& news : seen.all<ListNews>()) {
-      if (news.mode == ListMode::Full) all.clear();
-      for (const ServerEntry& e : news.entries) {
-        all[e.server] = e.state;
-        if (e.state == ServerState::Gone) all.erase(e.server);
-      }
-    }
-    return all;
+    return serverList(seen);
   }
   bool listed(std::size_t count) {
     return loop.until([&] { return list().size() == count; });
