--- a/src/sources/sources.h
+++ b/src/sources/sources.h
@@ -1,11 +1,11 @@
 // The sources of servers round the membership: looks services up in time, takes what discovery tells, and
-// posts the one list to the exchange. It decides nothing: when to ask is src/dns/pace.h, who is listed is
-// src/membership.
+// posts the one list to the exchange. It decides nothing: when to ask is src/dns/lookup_schedule.h, who is
+// listed is src/membership.
 #pragma once
 
 #include <list>
 
-#include "dns/pace.h"
+#include "dns/lookup_schedule.h"
 #include "dns/resolver.h"
 #include "membership/membership.h"
 #include "net/net.h"
@@ -15,9 +15,11 @@
 
 namespace peargrade::sources {
 
+// The entries with the endpoint that stands at the same place; "" where there is none.
 std::vector<membership::RosterEntry> withEndpoints(const ListNews& news,
                                                    const std::vector<std::string>& endpoints);
 
+// All sources of one supervisor and the membership that they lead to.
 class Sources : public Front {
  public:
   Sources(const Surroundings& around, dns::Resolver::Random random);
@@ -39,8 +41,8 @@
     Watch(Sources& owner, std::size_t number, const op::Srv& srv);
     const std::size_t number;
     const op::Srv& srv;
-    const locality::Places places;
-    dns::Pace pace;
+    const locality::LocalityMap places;
+    dns::LookupSchedule schedule;
     net::Timer again;
     bool asked = false;
     dns::Service::Kind said = dns::Service::Kind::Complete;
