--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -59,6 +59,7 @@
 Scenario scenarioOf(const Asked& asked) {
   Scenario scenario = loadScenario(asked.file);
   for (const std::string& setting : asked.settings) apply(scenario, setting);
+  trim(scenario);
   return scenario;
 }
 
@@ -106,6 +107,7 @@
   for (const double value : asked.values) {
     scenarios.emplace_back(value, scenarioOf(asked));
     set(scenarios.back().second, asked.variable, value);
+    trim(scenarios.back().second);
     refuseTooLarge(scenarios.back().second, machine());
   }
   return runAll(asked, scenarios);
@@ -121,6 +123,7 @@
       const double whole = valueOf(scenario, name);
       if (whole > 1) set(scenario, name, std::max(1.0, std::round(whole * part)));
     }
+    trim(scenario);
     refuseTooLarge(scenario, machine());
     scenarios.emplace_back(part, scenario);
   }
--- a/scale/scenario.cpp
+++ b/scale/scenario.cpp
@@ -224,6 +224,9 @@
     throw Wrong("sweep: found " + variable + "=" + std::to_string(value) +
                 ", expected a size or rate of the scenario's file and a value that it may have");
   *size = static_cast<int>(value);
+}
+
+void trim(Scenario& scenario) {
   Sizes& s = scenario.sizes;
   s.machines = std::min(s.machines, s.supervisors);
   s.real = std::min(s.real, s.supervisors);
--- a/scale/scenario.h
+++ b/scale/scenario.h
@@ -66,6 +66,8 @@
 
 // Sets a size or a rate by its name in the file. Throws Wrong where there is none or it is out of range.
 void set(Scenario& scenario, const std::string& variable, double value);
+// After all that is set: what is a part of another size is no more than that.
+void trim(Scenario& scenario);
 // Its value now.
 double valueOf(const Scenario& scenario, const std::string& variable);
 
--- a/tests/scale/scenario_test.cpp
+++ b/tests/scale/scenario_test.cpp
@@ -95,6 +95,13 @@
   set(s, "servers", 94);
   EXPECT_EQ(s.sizes.servers, 94);
   EXPECT_EQ(valueOf(s, "servers"), 94);
+  set(s, "real", 20);
+  set(s, "supervisors", 30);
+  trim(s);
+  EXPECT_EQ(s.sizes.real, 20);
+  set(s, "supervisors", 10);
+  trim(s);
+  EXPECT_EQ(s.sizes.real, 10);
   EXPECT_THROW(set(s, "moons", 3), Wrong);
   EXPECT_THROW(set(s, "servers", 0), Wrong);
 }
