--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -346,7 +346,7 @@
         Server& d = servers[*from];
         if (now < d.nextMoveAt || load(d) <= mean || load(r, least[*from]) > mean) continue;
         const auto fits = [&](const Slice& t) { return load(r, t.heat) <= mean && withstands(r, t.heat); };
-        if (!shed(*from, "refill", [&](const Slice& t) { return fits(t) ? *id : ServerId(); })) continue;
+        if (!shed(*from, "refill", [&, id = id](const Slice& t) { return fits(t) ? *id : ""; })) continue;
         r.gaveAt = now;
         d.nextMoveAt = now + kRefillEvery;
         break;
