--- a/tools/netplay/runner.py
+++ b/tools/netplay/runner.py
@@ -37,7 +37,7 @@
 
 def command(net: Net, play: Play, result: Path, logs: Path) -> list[str]:
     """The bench's command for one play."""
-    words = [str(net.bench), os.path.relpath(net.site, net.scratch / "copy-0"), "--rough", play.kind, "--seed", str(play.seed)]
+    words = [str(net.bench), str(net.site), "--rough", play.kind, "--seed", str(play.seed)]
     if play.nodes:
         words += ["--nodes", str(play.nodes)]
     if net.deploy:
