Module takes changed settings as one event, by the function of its constructor

Change: event SettingsChanged with the whole of Settings. The constructor and the event run one function: cfg, work and order of classes are set anew; another number of classes is left out; where the rule for further tries differs it is ordered anew. No decision is made for the event alone: the same settings change nothing.

--- a/include/peargrade/director.h
+++ b/include/peargrade/director.h
@@ -17,7 +17,7 @@
 
 constexpr TableId kAllTables = 65535;  // in Admit: every table of this supervisor
 
-// ---- Settings: told once, when a supervisor starts ----
+// ---- Settings: told when a supervisor starts, and as a whole where they change in its life ----
 
 enum class Effect { Repeatable, ByKey, Once };
 enum class DedupScope { All, Zone, Cell };
@@ -151,8 +151,16 @@
   Micros took = 0;
 };
 
+// Other settings, as a whole, from here on: decisions of this batch and later follow them. Classes in number
+// and order, slices, proxies, oneOwner and levelUnit are those of the start; with another number of classes
+// the event is left out.
+struct SettingsChanged {
+  Settings settings;
+};
+
 using Event = std::variant<ListNews, TimerFired, ProbeResult, PeerNote, ProxyJoined, ProxyLeft, ServerReport,
-                           ProxyDemand, SliceDemand, SliceCharge, StoredLine, OrdersTold, OrderApplied>;
+                           ProxyDemand, SliceDemand, SliceCharge, StoredLine, OrdersTold, OrderApplied,
+                           SettingsChanged>;
 
 // ---- Actions ----
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -67,14 +67,18 @@
   Ways ways;
   Micros routineAt = 0, usualAt = 0, heardFrom = 0;  // the first reports of demand begin there
 
-  State(std::uint64_t seed, const Settings& settings) : cfg(settings), rng(seed) {
+  State(std::uint64_t seed, const Settings& settings) : rng(seed) {
+    on(SettingsChanged{settings});
+    fleetSent = fleetLevels = std::vector<double>(works.size(), 1);
+  }
+  void on(const SettingsChanged& e) {  // records by class keep their size
+    if (!works.empty() && e.settings.classes.size() != works.size()) return;
+    rulesSent = rulesSent && sameRetries(cfg, e.settings);
+    cfg = e.settings;
     // Work isn't told; the aim of a class stands for it: operators grant heavier requests more time.
+    works.clear();
     for (const RequestClass& c : cfg.classes) works.push_back(static_cast<double>(c.aim) / kSecond);
-    fleetSent = fleetLevels = std::vector<double>(cfg.classes.size(), 1);
-    for (std::size_t c = 0; c < cfg.classes.size(); ++c) byWorth.push_back(c);
-    std::sort(byWorth.begin(), byWorth.end(), [&](std::size_t a, std::size_t b) {
-      return cfg.classes[a].worth / works[a] < cfg.classes[b].worth / works[b];
-    });
+    byWorth = leastWorthFirst(cfg.classes, works);
   }
 
   // ---- Estimates ----
@@ -332,11 +336,7 @@
     }
     std::sort(takers.begin(), takers.end());  // the emptiest first, else all supervisors begin with the same
     std::sort(donors.begin(), donors.end());
-    std::map<ServerId, double> least;  // heat of a server's coolest slice
-    for (const auto& [t, s] : slices) {
-      double& coolest = least.emplace(s.home, s.heat).first->second;
-      coolest = std::min(coolest, s.heat);
-    }
+    std::map<ServerId, double> least = coolestSlices(slices);
     double any = 1e18;
     for (const auto& [minus, tie, id] : donors) any = std::min(any, least[*id]);
     for (const auto& [l, tie, id] : takers) {
--- a/src/state.h
+++ b/src/state.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <iterator>
 #include <map>
+#include <numeric>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -458,6 +459,34 @@
   return uses;
 }
 
+// Heat of the coolest slice of each home.
+inline std::map<ServerId, double> coolestSlices(const std::map<TableId, Slice>& slices) {
+  std::map<ServerId, double> least;
+  for (const auto& [t, s] : slices) {
+    double& coolest = least.emplace(s.home, s.heat).first->second;
+    coolest = std::min(coolest, s.heat);
+  }
+  return least;
+}
+
+// Classes by worth per work, the least first.
+inline std::vector<std::size_t> leastWorthFirst(const std::vector<RequestClass>& classes,
+                                                const std::vector<double>& works) {
+  std::vector<std::size_t> order(classes.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    return classes[a].worth / works[a] < classes[b].worth / works[b];
+  });
+  return order;
+}
+
+// Whether both say the same of what a further try may be: orders that name one stand then.
+inline bool sameRetries(const Settings& a, const Settings& b) {
+  const auto alike = [](const RequestClass& x, const RequestClass& y) { return x.effect == y.effect; };
+  return a.tryAims == b.tryAims &&
+         std::equal(a.classes.begin(), a.classes.end(), b.classes.begin(), b.classes.end(), alike);
+}
+
 // Drops the records of servers that left before a time and that no slice names.
 inline void forgetLeft(std::map<ServerId, Server>& servers, const Uses& uses, Micros before) {
   for (auto it = servers.begin(); it != servers.end();) {
