Settings are taken over at SIGHUP as a whole and by version, where an operator allows it

Change: operator's setting `configuration { settings-reload true }`, off by default, and then all is as before. On: the file is checked as a whole (ranges, version, what stays as at the start), refused with a reason and each field, or taken over with its addresses between two turns. Last known good holds. The log tells version and content hash at the start, at each take-over and refusal.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
+#include <xxhash.h>
 
 #include <charconv>
 #include <cstdlib>
@@ -71,6 +72,21 @@
   return names;
 }
 
+// Whether it is of use is asked only where settings are taken over: elsewhere the field means nothing.
+void readVersion(const Fields& f, Config& c) {
+  const wire::Value* version = f.find("version");
+  if (version == nullptr) return;
+  c.versionWrong = !version->IsInt64() || version->GetInt64() < 0;
+  if (!c.versionWrong) c.version = version->GetInt64();
+}
+
+std::uint64_t contentOf(const Fields& f, const Config& c) {
+  const wire::Value* discovery = f.find("discovery");
+  const std::string told = discovery != nullptr && discovery->IsString() ? discovery->GetString() : "";
+  const std::string text = told + '\n' + c.relay.text() + '\n' + c.settingsText;
+  return XXH64(text.data(), text.size(), 0);
+}
+
 Limits parseLimits(const Fields& f) {
   Limits limits;
   limits.cores = f.numberOr("cores", limits.cores);
@@ -136,6 +152,8 @@
       }
       c.known.mode = ListMode::Cached;
     });
+    readVersion(f, c);
+    c.content = contentOf(f, c);
   });
   if (!problems.empty()) throw Wrong(problems);
   return c;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -33,7 +33,10 @@
   std::uint64_t seed = 0;
   Limits limits;
   Settings settings;
-  std::string settingsText;  // as the file has them
+  std::string settingsText;             // as the file has them
+  std::optional<std::int64_t> version;  // of the file's content, by whoever writes it; nothing: not told
+  bool versionWrong = false;            // `version` is there and is no whole number from 0 on
+  std::uint64_t content = 0;            // hash of what a running program can take over, as the file has it
   discovery::Names names;
   ListNews known;                           // as cached; empty when there is none
   std::vector<std::string> knownEndpoints;  // of its entries, in their order
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "config/config.h"
+#include "config/takeover.h"
 #include "log/log.h"
 #include "operator/operator.h"
 #include "sources/front.h"
@@ -156,6 +157,10 @@
     const Config config = peargrade::config::load(path, environment);
     std::optional<peargrade::op::Operator> op;
     if (!operatorPath.empty()) op = peargrade::op::load(operatorPath, &config.names);
+    if (op && op->settingsReload) {
+      if (const auto objection = peargrade::config::unsound(config))
+        throw peargrade::config::Wrong(objection->what);
+    }
     if (check->parsed()) {
       std::cout << tableOf(config);
       if (op) std::cout << "operator   " << operatorPath << '\n' << peargrade::op::tableOf(*op);
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -261,7 +261,12 @@
         false,
         {flag("roster", "true", "discovery over HTTP is one of the sources")},
         {dnsBlock(), srvBlock(), zoneBlock(), mergeBlock()},
-        "where the list of servers comes from"}},
+        "where the list of servers comes from"},
+       {"configuration",
+        false,
+        {flag("settings-reload", "false", "SIGHUP takes `settings` over, checked as a whole")},
+        {},
+        "the platform's configuration in a running supervisor"}},
       "the operator's file"};
   return file;
 }
@@ -274,6 +279,7 @@
   o.roster = sources.one("roster").yes;
   o.dns = dnsOf(sources.block("dns"));
   o.merge = mergeOf(sources.block("merge"));
+  o.settingsReload = top.block("configuration").one("settings-reload").yes;
   const auto complain = [&](kdl::Place at, const char* where, const std::string& found,
                             const std::string& due) {
     complaints.push_back({at, where, found, due});
@@ -428,7 +434,8 @@
 std::string tableOf(const Operator& o) {
   std::ostringstream out;
   out << "sources    roster " << (o.roster ? "on" : "off") << ", " << o.srv.size() << " srv, "
-      << o.zones.size() << " zones\n";
+      << o.zones.size() << " zones\nreload     addresses" << (o.settingsReload ? " and settings" : "")
+      << '\n';
   for (const Srv& s : o.srv)
     out << "srv        " << s.label << ": " << s.name << ", " << s.places.size() << " places\n";
   for (const Zone& z : o.zones)
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -61,6 +61,7 @@
   std::vector<Srv> srv;
   std::vector<Zone> zones;
   membership::Settings merge;
+  bool settingsReload = false;  // SIGHUP takes `settings` over, checked as a whole
 
   bool sources() const { return !srv.empty() || !zones.empty(); }
 };
--- a/src/supervisor/serve.cpp
+++ b/src/supervisor/serve.cpp
@@ -46,6 +46,13 @@
   return static_cast<int>(std::min<rlim_t>(own.rlim_cur, static_cast<rlim_t>(config.limits.sockets)));
 }
 
+// The settings as this program serves them.
+Settings served(Settings settings) {
+  settings.ordersTold = true;     // by src/relay
+  settings.listOnRequest = true;  // discovery pushes to those that watch, whatever `registryMode` says
+  return settings;
+}
+
 }  // namespace
 
 int serve(const config::Config& config, const std::function<config::Config()>& loadAgain, log::Log& log,
@@ -54,10 +61,7 @@
   const Clock clock;
   const net::EventBase base = net::makeBase();
   exchange::Exchange exchange;
-  Settings settings = config.settings;
-  settings.ordersTold = true;     // by src/relay
-  settings.listOnRequest = true;  // discovery pushes to those that watch, whatever `registryMode` says
-  Supervisor supervisor(config.seed, settings, exchange, log);
+  Supervisor supervisor(config.seed, served(config.settings), exchange, log);
   clients::Clients::Limits clientLimits;
   clientLimits.connections = static_cast<std::size_t>(std::max(16, descriptors(config) - kOwnDescriptors));
   const Shares shares(config.limits.memoryMb);
@@ -87,13 +91,15 @@
   log.info("supervisor") << config.name << " serves at " << config.listen.text() << ", "
                          << config.known.entries.size() << " servers known";
 
+  const bool settingsToo = op != nullptr && op->settingsReload;
   Reload newConfig(
       base.get(), config, loadAgain,
       [&](const config::Config& next) {
         if (discovery) discovery->moveTo(next.discovery);
         relay.moveTo(next.relay);
+        if (settingsToo) exchange.post(SettingsChanged{served(next.settings)});
       },
-      log);
+      log, settingsToo ? TakeOver::AddressesAndSettings : TakeOver::Addresses);
   Signals signals(base.get());
   signals.onReload([&newConfig, &sources] {
     newConfig.ask();
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -83,6 +83,25 @@
             std::vector<std::string>{"settings"});
 }
 
+TEST(Config, AVersionIsReadAndTheContentIsWhatARunningProgramTakesOver) {
+  const Config now = read(kGood);
+  EXPECT_FALSE(now.version.has_value());
+  const Config seven = read(with("{\"name\"", "{\"version\":7,\"name\""));
+  EXPECT_EQ(seven.version, 7);
+  EXPECT_FALSE(seven.versionWrong);
+  for (const char* wrong : {"-1", "1.5", "\"7\"", "[]", "99999999999999999999"})
+    EXPECT_TRUE(read(with("{\"name\"", "{\"version\":" + std::string(wrong) + ",\"name\"")).versionWrong)
+        << wrong;
+  EXPECT_EQ(seven.content, now.content) << "the number is no content";
+  EXPECT_EQ(read(with("\"known\":{", "\"known\": {")).content, now.content);
+  EXPECT_EQ(read(with("8c1f30d27a5be964", "1")).content, now.content) << "for a start only";
+  EXPECT_EQ(read(kGood, {{"NODE_DISCOVERY", "127.2.0.9:1"}}).content, now.content) << "as the file has it";
+  for (const auto& [part, other] :
+       {std::pair{"127.2.0.1:8500", "127.2.0.9:8500"}, std::pair{"127.2.0.2:6400", "127.2.0.9:6400"},
+        std::pair{"\"aimUs\":800000", "\"aimUs\":900000"}})
+    EXPECT_NE(read(with(part, other)).content, now.content) << part;
+}
+
 TEST(Config, WhatIsWrongIsNamedByItsField) {
   const std::pair<std::string, const char*> cases[] = {
       {"", "not JSON"},
--- a/tests/operator/operator_test.cpp
+++ b/tests/operator/operator_test.cpp
@@ -137,9 +137,20 @@
   EXPECT_THROW(load("/nonexistent/op.kdl", nullptr), Wrong);
 }
 
+TEST(Operator, SettingsAreTakenOverOnlyWhereTheFileSaysSo) {
+  EXPECT_FALSE(parse("version 1", "f", nullptr).settingsReload);
+  EXPECT_FALSE(parse("version 1\nconfiguration {\n}\n", "f", nullptr).settingsReload);
+  const Operator o = parse("version 1\nconfiguration {\n settings-reload true\n}\n", "f", nullptr);
+  EXPECT_TRUE(o.settingsReload);
+  EXPECT_FALSE(o.sources());
+  EXPECT_EQ(wrong("version 1\nconfiguration {\n settings-reload \"on\"\n}\n"),
+            "op.kdl:3:18: configuration.settings-reload: found \"on\", expected true or false");
+}
+
 TEST(Operator, EverySettingIsInTheTableForPeople) {
   const std::string table = tableOf(schema());
-  for (const char* name : {"sources.dns.try\n", "sources.srv.place.net\n", "sources.merge.flap-hold\n"})
+  for (const char* name : {"sources.dns.try\n", "sources.srv.place.net\n", "sources.merge.flap-hold\n",
+                           "configuration.settings-reload\n"})
     EXPECT_NE(table.find(name), std::string::npos) << name;
 }
 
--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -296,6 +296,146 @@
   EXPECT_FALSE(said(": gone")) << "nothing is taken for gone that is there";
 }
 
+// ---- Settings that change without a restart ----
+
+struct SettingsReload : Life {
+  const Written allowed{"_allowed.kdl", "version 1\nconfiguration {\n  settings-reload true\n}\n"};
+
+  // A configuration with a version; `repeats`: what may be done with a lookup that failed.
+  std::string versioned(int version, bool repeats) {
+    const std::string text = replaced(config(), "\"name\": \"example\"",
+                                      "\"version\": " + std::to_string(version) + R"(, "name": "n")");
+    return repeats ? text : replaced(text, "\"repeatable\"", "\"once\"");
+  }
+  // As whole as a rename makes it.
+  static void replace(const std::string& path, const std::string& text) {
+    std::ofstream(path + ".new") << text;
+    ASSERT_EQ(std::rename((path + ".new").c_str(), path.c_str()), 0);
+  }
+  std::vector<std::string> serve(const std::string& path) const {
+    return {PEARGRADE_PROGRAM, "serve", "-c", path, "--operator", allowed.path};
+  }
+  // The last rule for lookups that the relay has taken; 2: again after any failure, 1: only after proof.
+  std::string rule() const {
+    std::string last;
+    for (const std::string& order : relay.orders) {
+      if (order.compare(0, 14, "gate,*,lookup,") == 0) last = order.substr(order.rfind(',') + 1);
+    }
+    return last;
+  }
+  bool leftS1() {
+    for (const auto& [host, weight] : relay.slices[0]) {
+      if (host != "s1" && std::atof(weight.c_str()) >= 1) return true;
+    }
+    return false;
+  }
+  static bool said(const Program& program, const std::string& part) {
+    return program.output().find(part) != std::string::npos;
+  }
+};
+
+TEST_F(SettingsReload, ChangedSettingsAreInForceWithoutARestartAndWrongOnesNever) {
+  threeServers();
+  const WrittenConfig file(versioned(5, true));
+  Program program(serve(file.path));
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  ASSERT_TRUE(loop.until([&] { return rule() == "2"; })) << program.output();
+  EXPECT_TRUE(said(program, "configuration in force: version 5 (content ")) << program.output();
+  const std::string good = versioned(6, false);
+  const std::pair<std::string, const char*> refused[] = {
+      {good.substr(0, good.size() / 2), "refused (unreadable), version 5 "},
+      {versioned(4, false), "refused (stale-version), version 5 "},
+      {versioned(5, false), "refused (same-version), version 5 "},
+      {replaced(good, "\"shards\": 8", "\"shards\": 9"), "refused (structure), version 5 "},
+      {replaced(good, "\"startCapacity\": 0.2", "\"startCapacity\": 2"),
+       "refused (out-of-range), version 5 "}};
+  for (const auto& [text, line] : refused) {
+    replace(file.path, text);
+    program.signal(SIGHUP);
+    const char* part = line;
+    ASSERT_TRUE(loop.until([&] { return said(program, part); })) << line << program.output();
+  }
+  EXPECT_EQ(rule(), "2") << "the last known good is in force";
+  replace(file.path, good);
+  program.signal(SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return rule() == "1"; })) << program.output();
+  EXPECT_TRUE(said(program, "configuration in force: version 6 (content ")) << program.output();
+  const std::size_t answers = prober->received.size();
+  prober->send(R"({"type":"hb"})");
+  ASSERT_TRUE(loop.until([&] { return prober->received.size() > answers; }))
+      << "clients keep their connections";
+  EXPECT_EQ(relay.watches, 1);
+  EXPECT_EQ(discovery.watching(), 1u);
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0) << program.output();
+}
+
+// Guards against settings that change while it is not known what became of a reply: its orders are not lost,
+// and what was decided by the old settings does not stay.
+TEST_F(SettingsReload, AChangeAmidACallInDoubtLosesNoOrder) {
+  using Fault = standins::Relay::Fault;
+  for (const Fault fault : {Fault::Silent, Fault::BreakBefore, Fault::BreakAfter, Fault::Garbage}) {
+    threeServers();
+    relay.orders.clear();
+    const WrittenConfig file(versioned(1, true));
+    Program program(serve(file.path));
+    std::unique_ptr<standins::Collector> prober;
+    ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+    ASSERT_TRUE(loop.until([&] { return rule() == "2" && relay.slices[0].size() > 1; })) << program.output();
+    replace(file.path, versioned(2, false));
+    const std::size_t before = relay.calls.size();
+    relay.faults = {fault};
+    discovery.set("s1", "east", "DRAINING");
+    ASSERT_TRUE(loop.until([&] { return relay.calls.size() > before; })) << program.output();
+    program.signal(SIGHUP);
+    ASSERT_TRUE(loop.until([&] { return rule() == "1" && leftS1(); }))
+        << static_cast<int>(fault) << ' ' << rule() << program.output();
+    program.signal(SIGTERM);
+    EXPECT_EQ(program.wait(), 0) << program.output();
+  }
+}
+
+TEST_F(SettingsReload, OfABurstOfAHundredChangesTheLastIsInForceAndNoDrainIsLost) {
+  constexpr int kChanges = 100;
+  threeServers();
+  const WrittenConfig file(versioned(0, true));
+  Program program(serve(file.path));
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  ASSERT_TRUE(loop.until([&] { return rule() == "2"; })) << program.output();
+  for (int version = 1; version <= kChanges; ++version) {
+    const bool last = version == kChanges;  // only the last says something else of lookups
+    replace(file.path, replaced(versioned(version, !last), "\"drainGraceUs\": 2000000",
+                                "\"drainGraceUs\": " + std::to_string(2000000 + version)));
+    program.signal(SIGHUP);
+    if (version == kChanges / 2) discovery.set("s1", "east", "DRAINING");
+    event_base_loop(loop.base.get(), EVLOOP_NONBLOCK);
+  }
+  const Micros last = net::steadyNow();
+  const std::string line = "configuration in force: version " + std::to_string(kChanges) + " (content ";
+  ASSERT_TRUE(loop.until([&] { return said(program, line); })) << program.output();
+  const Micros known = net::steadyNow() - last;
+  ASSERT_TRUE(loop.until([&] { return rule() == "1" && leftS1(); })) << rule() << program.output();
+  std::cout << "version " << kChanges << " told after " << known / 1000 << " ms, ordered by it after "
+            << (net::steadyNow() - last) / 1000 << " ms\n";
+  EXPECT_FALSE(program.ended());
+  EXPECT_FALSE(said(program, "refused"));
+  EXPECT_EQ(relay.watches, 1) << "no restart";
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0) << program.output();
+}
+
+// What a running supervisor would refuse is no start either, where settings may change; else it is as ever.
+TEST_F(SettingsReload, CheckIsAsStrictAsATakeOver) {
+  const WrittenConfig file(replaced(versioned(1, true), "\"startCapacity\": 0.2", "\"startCapacity\": 2"));
+  Program strict({PEARGRADE_PROGRAM, "check", "-c", file.path, "--operator", allowed.path});
+  EXPECT_EQ(strict.wait(), 2);
+  EXPECT_TRUE(said(strict, "settings.rules.startCapacity: 2 is not from 0 to 1")) << strict.output();
+  Program plain({PEARGRADE_PROGRAM, "check", "-c", file.path});
+  EXPECT_EQ(plain.wait(), 0) << plain.output();
+}
+
 // ---- Signals that come between two lines ----
 
 // A configuration that the program waits for: it opens the file, and what stands there comes when the test
