--- a/tests/serve/serve_test.cpp
+++ b/tests/serve/serve_test.cpp
@@ -396,6 +396,24 @@
   }
 }
 
+// Guards against settings that come as the file has them: that replies are answered is this program's to say.
+TEST_F(SettingsReload, BehindAChangeACallThatIsMissedIsStillOrderedAnew) {
+  threeServers();
+  const WrittenConfig file(versioned(1, true));
+  Program program(serve(file.path));
+  std::unique_ptr<standins::Collector> prober;
+  ASSERT_TRUE(untilItAnswers(prober)) << program.output();
+  replace(file.path, replaced(versioned(2, false), "\"on_request\"", "\"pushed\""));
+  program.signal(SIGHUP);
+  ASSERT_TRUE(loop.until([&] { return rule() == "1" && relay.slices[0].size() > 1; })) << program.output();
+  const std::size_t before = relay.calls.size();
+  relay.faults = {standins::Relay::Fault::BreakBefore};
+  discovery.set("s1", "east", "DRAINING");
+  ASSERT_TRUE(loop.until([&] { return relay.calls.size() > before + 1 && leftS1(); })) << program.output();
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0) << program.output();
+}
+
 TEST_F(SettingsReload, OfABurstOfAHundredChangesTheLastIsInForceAndNoDrainIsLost) {
   constexpr int kChanges = 100;
   threeServers();
