--- a/src/operator/declaration.cpp
+++ b/src/operator/declaration.cpp
@@ -149,7 +149,12 @@
         false,
         {flag("roster", "true", "discovery over HTTP is one of the sources")},
         {dnsBlock(), srvBlock(), zoneBlock(), mergeBlock()},
-        "where the list of servers comes from"}},
+        "where the list of servers comes from"},
+       {"configuration",
+        false,
+        {flag("settings-reload", "false", "SIGHUP takes `settings` over, checked as a whole")},
+        {},
+        "the platform's configuration in a running supervisor"}},
       "the operator's file"};
   return file;
 }
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -29,6 +29,7 @@
   std::vector<Complaint> complaints;
   const Section top = check(schema(), kdl::parse(text), complaints);
   Operator o = SourcesReader(names, complaints).read(top.block("sources"));
+  o.settingsReload = top.block("configuration").one("settings-reload").yes;
   if (!complaints.empty()) throw ParseError(linesOf(std::move(complaints), file));
   return o;
 }
--- a/src/operator/table.cpp
+++ b/src/operator/table.cpp
@@ -8,7 +8,8 @@
 std::string tableOf(const Operator& o) {
   std::ostringstream out;
   out << "sources    roster " << (o.roster ? "on" : "off") << ", " << o.srv.size() << " srv, "
-      << o.zones.size() << " zones\n";
+      << o.zones.size() << " zones\nreload     addresses" << (o.settingsReload ? " and settings" : "")
+      << '\n';
   for (const Srv& s : o.srv)
     out << "srv        " << s.label << ": " << s.name << ", " << s.places.size() << " places\n";
   for (const Zone& z : o.zones)
--- a/src/supervisor/node.cpp
+++ b/src/supervisor/node.cpp
@@ -24,12 +24,17 @@
   }
 };
 
-Settings ofThisProtocol(Settings settings) {
+// The settings as this program serves them, whatever the file says of what only the protocol decides.
+Settings served(Settings settings) {
   settings.ordersTold = true;     // by src/relay
   settings.listOnRequest = true;  // discovery pushes to those that watch, whatever `registryMode` says
   return settings;
 }
 
+TakeOver takeOver(const op::Operator* op) {
+  return op != nullptr && op->settingsReload ? TakeOver::AddressesAndSettings : TakeOver::Addresses;
+}
+
 clients::Clients::Limits clientLimits(const config::Config& config, int descriptors) {
   clients::Clients::Limits limits;
   const int granted = std::min(descriptors, config.limits.sockets);
@@ -57,18 +62,20 @@
            log::Log& log, int descriptors, const op::Operator* op, const MakeSources& makeSources)
     : config_(config),
       log_(log),
-      supervisor_(config_.seed, ofThisProtocol(config_.settings), exchange_, log),
+      supervisor_(config_.seed, served(config_.settings), exchange_, log),
       clients_(base, config_.listen, config_.names, config_.settings.slices, exchange_, log,
                clientLimits(config_, descriptors)),
       relay_(base, config_.relay, config_.names, config_.settings.slices, config_.seed, exchange_, log,
              relayLimits(config_)),
       newConfig_(
           base, config_, std::move(loadAgain),
-          [this](const config::Config& next) {
+          [this, take = takeOver(op)](const config::Config& next) {
             if (discovery_) discovery_->moveTo(next.discovery);
             relay_.moveTo(next.relay);
+            if (take == TakeOver::AddressesAndSettings)
+              exchange_.post(SettingsChanged{served(next.settings)});
           },
-          log),
+          log, takeOver(op)),
       readyAtLast_(base, [this] { exchange_.waitedEnough(); }),
       wake_(base, [this] { woken_ = true; }) {
   if (op == nullptr || op->roster)
