--- a/scale/report/rows.py
+++ b/scale/report/rows.py
@@ -327,15 +327,6 @@
 )
 
 GAPS = (
-    Gap(
-        "configuration",
-        "a change of `settings` needs a restart of each supervisor",
-        "configuration",
-        ("configuration", "routes", "failures"),
-        lambda t: t.sizes.configuration_changes_per_day * t.sizes.supervisors,
-        lambda t: t.failures.machines_restarted_per_day,
-        "restarts a day",
-    ),
     Gap("supervisor", "no record of a tenant", "tenants", ("routes",)),
     Gap("supervisor", "no record of a service: one flat list of servers and of slices", "scope", ("fleet", "control")),
     Gap("supervisor", "no record of a region: zones stand side by side", "locality", ("regions",)),
