--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -577,7 +577,7 @@
         if (demand[c] > 0) mean[c] += level * s.rates[c] * works[c] / demand[c];
       }
     }
-    const double held = cfg.linesWaitingMax * kQueueShare[kLevel] / receivers() - head();
+    const double held = cfg.linesWaitingMax * kQueueShare[Level] / receivers() - head();
     const bool oneForAll = exceptions > held && cfg.levelUnit == LevelUnit::Share;
     for (std::size_t c = 0; c < demand.size(); ++c) {
       const double level = oneForAll ? std::round(mean[c] / kLevelGrain) * kLevelGrain : 1;
@@ -623,7 +623,7 @@
     if (channel.messagesWithin(now, cfg.messagesSpan) >= most && cfg.messagesPerProxyMax > 0) return false;
     const double whole = cfg.linesWaitingMax * kQueueShare[first] / receivers();
     if (linesQueued() > 0 && room(first) < std::min(wanted, missed ? 1 : kGatherShare * whole)) return false;
-    return first <= kEvacuation || now - routineAt >= kRoutineEvery;
+    return first <= Evacuation || now - routineAt >= kRoutineEvery;
   }
 
   // The changed lines of a slice that may have one owner only: the old owner's line goes first, and the new
@@ -659,7 +659,7 @@
   // A slice's changed lines: to its home and off open servers, first of all where a proxy has nowhere to go;
   // standbys, and lines to what is withdrawn, come later.
   void addLines(TableId t, const Slice& s, std::vector<Piece>& pieces) const {
-    Piece home{kMove, -s.heat, t, {}}, rest{kStandby, -s.heat, t, {}};
+    Piece home{Move, -s.heat, t, {}}, rest{Standby, -s.heat, t, {}};
     bool bare = true, left = s.leftHome;
     for (const auto& [id, w] : s.sent) {
       bare = bare && (w == kInDoubt || servers.at(id).shut() || !servers.at(id).ready());
@@ -671,10 +671,10 @@
       if (line.weight == 0 && leaving(v) && !v.withdrawn) continue;
       const bool first = line.weight > 0 ? line.server == s.home : open(line.server);
       (first ? home : rest).orders.push_back(a);
-      if (line.weight > 0 || first || rest.urgency == kEvacuation) continue;
-      rest.urgency = v.ready() && !v.failing ? kEvacuation : kMove;  // one that is back waits for this
+      if (line.weight > 0 || first || rest.urgency == Evacuation) continue;
+      rest.urgency = v.ready() && !v.failing ? Evacuation : Move;  // one that is back waits for this
     }
-    if (bare || left) home.urgency = bare ? kMust : kEvacuation;
+    if (bare || left) home.urgency = bare ? Must : Evacuation;
     if (!home.orders.empty()) pieces.push_back(std::move(home));
     if (!rest.orders.empty()) pieces.push_back(std::move(rest));
   }
@@ -688,7 +688,7 @@
     for (auto& [t, s] : slices) {
       if (!cfg.oneOwner && s.sent != s.want) addLines(t, s, pieces);
       if (std::vector<Action> lines = handOver(t, s); !lines.empty())
-        pieces.push_back({kMust, -s.heat, t, std::move(lines)});
+        pieces.push_back({Must, -s.heat, t, std::move(lines)});
       std::vector<Action> levels;
       bool lower = false;
       for (std::size_t c = 0; c < s.levels.size() && cfg.levelUnit == LevelUnit::Share; ++c) {
@@ -696,18 +696,18 @@
         levels.push_back(Admit{t, 1u << c, s.levels[c], secondTry(cfg.classes[c])});
         lower = lower || (s.levels[c] < 1 && s.levels[c] <= s.sentLevels[c]);  // the same: it is in doubt
       }
-      const Urgency urgency = lower && isCold(servers[s.home]) ? kEvacuation : kLevel;
+      const Urgency urgency = lower && isCold(servers[s.home]) ? Evacuation : Level;
       if (!levels.empty()) pieces.push_back({urgency, -s.heat, t, std::move(levels)});
     }
     if (!rulesSent || strained != strainedSent || fleetLevels != fleetSent) {
-      pieces.push_back({missed ? kEvacuation : kLevel, -allHeat, kAllTables, {}});
+      pieces.push_back({missed ? Evacuation : Level, -allHeat, kAllTables, {}});
       for (std::size_t c = 0; c < cfg.classes.size(); ++c)
         pieces.back().orders.push_back(Admit{kAllTables, 1u << c, fleetLevels[c], secondTry(cfg.classes[c])});
     }
     const double pulls = static_cast<double>(withdrawals().size());
     if (pieces.empty() && pulls == 0) return;
     std::sort(pieces.begin(), pieces.end());
-    const Urgency first = pulls > 0 ? kMust : pieces.front().urgency;
+    const Urgency first = pulls > 0 ? Must : pieces.front().urgency;
     double wanted = pulls;
     for (const Piece& p : pieces) wanted += p.urgency == first ? static_cast<double>(p.orders.size()) : 0;
     if (!mayWrite(first, wanted)) return;
@@ -721,11 +721,11 @@
     };
     double levels = 0;  // that change all the time: they may not starve what is less urgent
     for (const Piece& p : pieces) {
-      levels += p.urgency == kLevel ? static_cast<double>(p.orders.size()) : 0;
-      if (p.urgency == kLevel && levels > kLevelShare * room(kLevel) && levels > demand.size()) continue;
+      levels += p.urgency == Level ? static_cast<double>(p.orders.size()) : 0;
+      if (p.urgency == Level && levels > kLevelShare * room(Level) && levels > demand.size()) continue;
       if (!put(p.urgency, p.orders)) break;
     }
-    for (const Action& order : withdrawals()) put(kMust, {order});
+    for (const Action& order : withdrawals()) put(Must, {order});
     if (orders.empty()) return;
     dropReplaced(orders);
     const double lines = head() + static_cast<double>(orders.size());
--- a/src/state.h
+++ b/src/state.h
@@ -473,7 +473,7 @@
 }
 
 // Orders that go together, and where they stand in the order of urgency.
-enum Urgency { kMust, kEvacuation, kLevel, kMove, kStandby };
+enum Urgency { Must, Evacuation, Level, Move, Standby };
 struct Piece {
   Urgency urgency;
   double order;
