Capacity: runs whose supervisors kept no pace are told as trials

Change: a generated table of the pace of each run, the reading of it, and the properties that broke.

--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -132,6 +132,25 @@
     return table(("test", "revision", "role", "size", "property", "figure", "budget", "ratio", "state"), body)
 
 
+SWEEPS_PER_S = 4  # of the module, in each supervisor (kSweepEvery in src/rules.cpp)
+PACE_LEAST = 0.75  # of them; as the hollow fleet judges its own runs (kPaceLeast in scale/fleet.cpp)
+
+
+def _pace(results: Sequence[Result]) -> str:
+    """How many of their sweeps the hollow supervisors of each run came to: a machine too slow for the run shows here."""
+    body = []
+    for one in results:
+        sweeps = one.metrics.get("timers_per_s")
+        if one.role != "supervisor" or one.variable or sweeps is None:
+            continue
+        state = "kept" if sweeps >= PACE_LEAST * SWEEPS_PER_S else "**trial**: too slow"
+        cells = (one.scenario, one.revision, plain(one.sizes["supervisors"]), plain(one.sizes["servers"]))
+        body.append(cells + (f"{sweeps:.2f} of {SWEEPS_PER_S}", state))
+    if not body:
+        return f"No run of the fleet: {NOT_MEASURED}."
+    return table(("test", "revision", "supervisors", "servers", "sweeps a second", "pace"), body)
+
+
 def _means(measured: Sequence[fit.Point], unit: str) -> str:
     return "; ".join(f"{plain(x)}: {quantity(y, unit)}" for x, y in fit.means(measured).items())
 
@@ -267,6 +286,7 @@
         "ranking-mechanisms": _ranking_mechanisms(red),
         "extrapolated": _extrapolated(judged),
         "not-measured": _not_measured(judged),
+        "pace": _pace(results),
         "scenarios": _scenarios(scenarios),
         "fits": _fits(measurements),
         "flat": _flat(measurements),
--- a/tests/scale_report/page_test.py
+++ b/tests/scale_report/page_test.py
@@ -102,5 +102,25 @@
                 self.assertEqual(row.split(" | ")[3], "not measured", row)
 
 
+class Pace(unittest.TestCase):
+    """A run whose supervisors could not sweep as often as they should is told as a trial."""
+
+    def rows(self, sweeps: float, **changes: object) -> list[str]:
+        sizes = {"supervisors": 550, "servers": 375}
+        metrics = {"timers_per_s": sweeps}
+        run = made.result(variable="", value=0, sizes=sizes, metrics=metrics, **changes)
+        return [row for row in tables.all_tables(made.plan(), [run])["pace"].splitlines() if "550" in row]
+
+    def test_at_three_quarters_of_its_sweeps_a_run_kept_its_pace(self) -> None:
+        self.assertEqual(len(self.rows(3.0)), 1)
+        self.assertTrue(self.rows(3.0)[0].endswith("| 3.00 of 4 | kept |"))
+
+    def test_under_that_it_is_a_trial(self) -> None:
+        self.assertTrue(self.rows(2.99)[0].endswith("| 2.99 of 4 | **trial**: too slow |"))
+
+    def test_only_supervisors_outside_sweeps_are_judged(self) -> None:
+        self.assertEqual(self.rows(1.0, role="relay"), [])
+
+
 if __name__ == "__main__":
     unittest.main()
