A supervisor with more slices than its settings name no longer ends by SIGFPE

Callers: the supervisor ended in the middle of a decision; no drain, ejection or migration of its slices was ordered until it was started again, and the same input ended it again.

Cause: LoadEstimator scaled own heat to the fleet by settings.slices / own slices. With 30 slices assigned and 24 in the settings this is 0.8, so the peers' share of a cohort's heat, scale - 1, was negative. Placement::coolest takes the servers up to 1.1 times the least load; of a negative load that set is empty, and the choice among its members divided by zero.

Fix: the scale is at least 1, as its contract says, and heat taken off a sum does not leave it below 0. All terms of the projected load are then at least 0, so the coolest server is always among the equals.

Tests: two new ones of the estimator fail without the change (load -36.8; the second ends by the signal).

--- a/src/decision/load_estimator.cpp
+++ b/src/decision/load_estimator.cpp
@@ -18,6 +18,9 @@
 /// Keeps divisors over 0.
 constexpr double kLeastWeight = 1e-9;
 
+/// Takes `heat` off a sum of heat. Rounding must not leave the sum below 0.
+void removeHeat(double& sum, double heat) { sum = std::max(0.0, sum - heat); }
+
 }  // namespace
 
 void LoadEstimator::record(const SliceLoadReport& report, SliceMap& slices) {
@@ -83,8 +86,7 @@
     readyWeight += server.isReady() ? slowStart_.weight(server) : 0;
     usableWeight_ += server.isUsable() ? slowStart_.weight(server) : 0;
   }
-  const bool isScaled = settings_.slices > 0 && !slices.empty();
-  fleetScale_ = isScaled ? static_cast<double>(settings_.slices) / static_cast<double>(slices.size()) : 1;
+  fleetScale_ = scaleToFleet(slices.size());
   fleetHeat_ *= fleetScale_;
   std::vector<CohortMember> members;
   for (auto& [id, server] : servers) {
@@ -105,6 +107,12 @@
   meanLoad_ = rampedWeight > 0 ? fleetHeat_ / rampedWeight : 0;
 }
 
+// A supervisor may be assigned more slices than the settings name: then there are no others to scale to.
+double LoadEstimator::scaleToFleet(std::size_t ownSlices) const {
+  if (ownSlices == 0) return 1;
+  return std::max(1.0, static_cast<double>(settings_.slices) / static_cast<double>(ownSlices));
+}
+
 void LoadEstimator::assignCohorts(std::vector<CohortMember>& members) {
   const auto changedEarlier = [](const CohortMember& a, const CohortMember& b) {
     return a.changedAt < b.changedAt;
@@ -126,8 +134,8 @@
 }
 
 void LoadEstimator::recordMigration(ServerState& from, ServerState& to, double heat) {
-  from.load.ownHeat -= heat;
-  cohortHeat_[from.load.cohort] -= heat;
+  removeHeat(from.load.ownHeat, heat);
+  removeHeat(cohortHeat_[from.load.cohort], heat);
   to.load.ownHeat += heat;
   cohortHeat_[to.load.cohort] += heat;
 }
--- a/src/decision/load_estimator.h
+++ b/src/decision/load_estimator.h
@@ -32,7 +32,7 @@
   /// Follows a slice that migrates.
   void recordMigration(ServerState& from, ServerState& to, double heat);
 
-  /// Heat of all supervisors' slices on a server.
+  /// Heat of all supervisors' slices on a server, never negative.
   [[nodiscard]] double heatOn(const ServerState& server) const;
   /// That heat, with `extraHeat` of own slices added, per unit of weight that the server has now.
   [[nodiscard]] double projectedLoad(const ServerState& server, double extraHeat = 0) const;
@@ -61,6 +61,7 @@
   };
 
   void estimateRates(SliceState& slice) const;
+  [[nodiscard]] double scaleToFleet(std::size_t ownSlices) const;
   void assignCohorts(std::vector<CohortMember>& members);
 
   const Settings& settings_;
--- a/tests/decision/load_estimator_test.cpp
+++ b/tests/decision/load_estimator_test.cpp
@@ -1,6 +1,8 @@
 // Heat of slices, servers and cohorts.
 #include "decision/load_estimator.h"
 
+#include <random>
+
 #include "component_fixture.h"
 #include "decision/ejection_planner.h"
 #include "decision/update_budget.h"
@@ -8,6 +10,8 @@
 namespace peargrade::decision {
 namespace {
 
+constexpr int kSeed = 5;
+
 class LoadEstimatorTest : public ComponentFixture {
  protected:
   LoadEstimatorTest() {
@@ -65,6 +69,38 @@
   EXPECT_DOUBLE_EQ(load_.heatOn(servers_["b"]), 3 * own / 3);
 }
 
+// A supervisor may be assigned more slices than the settings name. A scale below 1 would make peers' heat
+// negative, and no server the coolest one.
+TEST_F(LoadEstimatorTest, MoreSlicesThanTheSettingsNameAddNoNegativePeerHeat) {
+  for (const ServerId id : {"a", "b", "c"}) servers_[id].changedAt = clock_.now();
+  addSlice(1, "a", 100);
+  addSlice(2, "a", 100);
+  settings_.slices = 1;
+  estimate();
+  EXPECT_DOUBLE_EQ(load_.fleetScale(), 1);
+  EXPECT_EQ(load_.heatOn(servers_["b"]), 0);
+  EXPECT_GE(load_.projectedLoad(servers_["b"]), 0);
+}
+
+// Heats that are subtracted one by one may leave a sum below 0 by rounding: then no server was the coolest
+// one.
+TEST_F(LoadEstimatorTest, MigrationOfAllSlicesLeavesNoNegativeHeat) {
+  SliceState idle(clock_.now(), settings_.classes.size());
+  idle.primary = "c";
+  std::mt19937 random(kSeed);
+  for (int draw = 0; draw < 50; ++draw) {
+    slices_.clear();
+    for (TableId slice = 1; slice <= 7; ++slice)
+      addSlice(slice, "a", static_cast<std::int64_t>(1 + random() % 1000));
+    estimate();
+    for (auto& [table, slice] : slices_) migrator_.migrate(servers_, table, slice, "b", "test");
+    EXPECT_GE(servers_["a"].load.ownHeat, 0) << "draw " << draw << " of seed " << kSeed;
+    EXPECT_GE(load_.projectedLoad(servers_["a"]), 0) << "draw " << draw << " of seed " << kSeed;
+    const ServerId coolest = placement_.coolest(servers_, idle, 1, [](const ServerState&) { return true; });
+    EXPECT_EQ(coolest, "a") << "draw " << draw << " of seed " << kSeed;
+  }
+}
+
 /// A draining server that is the only one of a published table.
 class EjectionPlannerTest : public ComponentFixture {
  protected:
