A lost call is no longer reported as accepted by evidence of another call

Callers: an update that never reached the proxies counted as delivered, so an ejection of a draining server in it was not sent again and requests went on going there.

Cause: that some call had been executed was a state of the view, not of the call. unconfirmedCallExecuted stayed true until the next replay and settled any later lost call; it was also set by routes of a later call; and an acknowledgement of an earlier call settled a later one that the relay had answered with throttled.

Change: calls are numbered. The view records the calls without which the store could not show a slice's routes, whichever of the others were executed; only evidence that names the undelivered call settles it.

Tests: CallLostAfterAReplayShowedAnEarlierOneIsReportedAsIncomplete fails on the code before (ejection never sent again, 1 confirmed in place of 0).

--- a/src/relay/call_connection.h
+++ b/src/relay/call_connection.h
@@ -19,7 +19,7 @@
  public:
   struct Handlers {
     /// A call was sent.
-    std::function<void(const Commands&)> sent;
+    std::function<void(const Call&)> sent;
     /// The relay has accepted a command.
     std::function<void(const Command&)> accepted;
     /// Address of the open watch; nullptr: none is open.
@@ -41,8 +41,8 @@
   void leaveFormerAddress();
   /// A proxy that is connected has acknowledged an update.
   void onAcknowledged(int updateId) { calls_.onAcknowledged(updateId); }
-  /// The store shows that the call of unknown outcome was executed.
-  void onUnconfirmedCallExecuted() { calls_.onUnconfirmedCallExecuted(); }
+  /// The store shows that a call was executed.
+  void onCallShown(CallId call) { calls_.onCallShown(call); }
   /// Posts the delivery of the update if it is known to be complete.
   void reportConfirmedDelivery();
 
--- a/src/relay/command.h
+++ b/src/relay/command.h
@@ -1,6 +1,7 @@
 // Encodes the engine's actions as commands of the relay's APPLY call.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,15 @@
 
 using Commands = std::vector<Command>;
 
+/// Number of an APPLY call, ascending from 1. 0: no call.
+using CallId = std::uint64_t;
+
+/// What one APPLY call carries.
+struct Call {
+  CallId id = 0;
+  Commands commands;
+};
+
 /// The id that `command` asks the proxies to acknowledge; nothing for any other command.
 std::optional<int> requestedAcknowledgement(const Command& command);
 
--- a/src/relay/relay_client.cpp
+++ b/src/relay/relay_client.cpp
@@ -28,7 +28,7 @@
       log_(log),
       batch_(base, limits.batchDelay, limits.batchDelayMax, dispatcher),
       calls_(base, address, limits, seed + 1, dispatcher, log,
-             {[this](const Commands& call) { view_.onCallSent(call); },
+             {[this](const Call& call) { view_.onCallSent(call); },
               [this](const Command& command) { view_.onCommandAccepted(command); },
               [this] { return watch_.openAddress(); }}),
       watch_(base, address, limits, seed, log,
@@ -93,7 +93,8 @@
     // Only now: a relay that answers WATCH and breaks off at once is reconnected with backoff.
     watch_.resetBackoff();
   }
-  if (view_.unconfirmedCallExecuted()) calls_.onUnconfirmedCallExecuted();
+  const CallId unconfirmed = calls_.calls().unconfirmed().id;
+  if (view_.showsCall(unconfirmed)) calls_.onCallShown(unconfirmed);
   calls_.reportConfirmedDelivery();
   batch_.add(std::move(events), continuationOf(event));
 }
--- a/src/relay/store_view.cpp
+++ b/src/relay/store_view.cpp
@@ -10,6 +10,16 @@
 /// Weights count as equal up to this difference, relative above 1 and absolute below: the store rounds them.
 constexpr double kWeightTolerance = 1e-6;
 
+/// Beyond so many possible tables of a slice its routes prove no call.
+constexpr std::size_t kPossibleRoutesMax = 64;
+
+/// The slice whose routes a command changes; nothing for other commands.
+std::optional<TableId> tableOf(const Command& command) {
+  if (const auto* clear = std::get_if<ClearTable>(&command.action)) return clear->table;
+  if (const auto* route = std::get_if<SetRoute>(&command.action)) return route->table;
+  return std::nullopt;
+}
+
 bool sameWeight(double left, double right) {
   return std::abs(left - right) <= kWeightTolerance * std::max(1.0, std::abs(left));
 }
@@ -38,39 +48,86 @@
     table->second.erase(route->server);
 }
 
-void StoreView::beginReplay(const Commands& unconfirmed) {
+void StoreView::beginReplay(const Call& unconfirmed) {
   replaying_ = true;
-  unconfirmedCallExecuted_ = false;
+  shownCalls_.clear();
   replay_ = Replay();
   replay_.proxiesNotShown = proxies_;
   for (const auto& [slice, routes] : tables_) replay_.slicesNotShown.insert(slice);
   replay_.tablesBefore = tables_;
-  if (unconfirmed.empty()) return;
-  replay_.calls.push_back(unconfirmed);
-  replay_.hasUnconfirmedCall = true;
+  if (!unconfirmed.commands.empty()) replay_.calls.push_back(unconfirmed);
 }
 
-void StoreView::onCallSent(const Commands& call) {
+void StoreView::onCallSent(const Call& call) {
   if (replaying_) replay_.calls.push_back(call);
 }
 
 void StoreView::onCommandAccepted(const Command& command) { applyCommand(command, tables_); }
 
+/// The calls of the replay with their commands for `slice`; those without such commands are left out.
+std::vector<Call> StoreView::callsFor(TableId slice) const {
+  std::vector<Call> calls;
+  for (const Call& call : replay_.calls) {
+    Call ofSlice{call.id, {}};
+    for (const Command& command : call.commands) {
+      if (tableOf(command) == slice) ofSlice.commands.push_back(command);
+    }
+    if (!ofSlice.commands.empty()) calls.push_back(std::move(ofSlice));
+  }
+  return calls;
+}
+
+StoreView::Routes StoreView::routesAfter(const Call& call, TableId slice, const Routes& before) {
+  Tables tables{{slice, before}};
+  for (const Command& command : call.commands) applyCommand(command, tables);
+  return tables[slice];
+}
+
+bool StoreView::contains(const std::vector<Routes>& candidates, const Routes& routes) {
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&](const Routes& candidate) { return sameRoutes(candidate, routes); });
+}
+
 /// Whether `shown` is what the store held as the replay began, or that with the calls sent since, up to any
 /// one of them.
 bool StoreView::explainsRoutes(TableId slice, const Routes& shown) {
-  Tables tables{{slice, replay_.tablesBefore[slice]}};
-  const Routes& expected = tables[slice];
+  Routes expected = replay_.tablesBefore[slice];
   if (sameRoutes(expected, shown)) return true;
-  for (const Commands& call : replay_.calls) {
-    for (const Command& command : call) applyCommand(command, tables);
+  const std::vector<Call> calls = callsFor(slice);
+  for (const Call& call : calls) {
+    expected = routesAfter(call, slice, expected);
     if (!sameRoutes(expected, shown)) continue;
-    if (replay_.hasUnconfirmedCall) unconfirmedCallExecuted_ = true;
+    recordShownCalls(calls, slice, shown);
     return true;
   }
   return false;
 }
 
+/// Records the calls without which the store could not show these routes.
+void StoreView::recordShownCalls(const std::vector<Call>& calls, TableId slice, const Routes& shown) {
+  const Routes& before = replay_.tablesBefore[slice];
+  for (const Call& call : calls) {
+    if (!isPossibleWithout(call.id, calls, slice, before, shown)) shownCalls_.insert(call.id);
+  }
+}
+
+/// Whether some of the calls, of which each was executed completely or not at all, lead from `before` to
+/// `shown` without the omitted one.
+bool StoreView::isPossibleWithout(CallId omitted, const std::vector<Call>& calls, TableId slice,
+                                  const Routes& before, const Routes& shown) {
+  std::vector<Routes> possible{before};
+  for (const Call& call : calls) {
+    if (call.id == omitted) continue;
+    const std::size_t notExecuted = possible.size();
+    for (std::size_t k = 0; k < notExecuted; ++k) {
+      Routes executed = routesAfter(call, slice, possible[k]);
+      if (!contains(possible, executed)) possible.push_back(std::move(executed));
+    }
+    if (possible.size() > kPossibleRoutesMax) return true;
+  }
+  return contains(possible, shown);
+}
+
 // A slice that another supervisor wrote meanwhile counts as assigned anew, with the routes of the store.
 void StoreView::endSliceReplay(std::vector<Event>& events) {
   if (!replay_.slice) return;
@@ -150,7 +207,7 @@
 
 std::size_t StoreView::recordCount() const {
   std::size_t count = proxies_.size() + replay_.proxiesNotShown.size() + replay_.slicesNotShown.size() +
-                      replay_.tablesBefore.size() + replay_.calls.size();
+                      replay_.tablesBefore.size() + replay_.calls.size() + shownCalls_.size();
   for (const auto& [slice, routes] : tables_) count += 1 + routes.size();
   return count;
 }
--- a/src/relay/store_view.h
+++ b/src/relay/store_view.h
@@ -18,11 +18,11 @@
 /// become events; when it ends, what was not replayed counts as gone.
 class StoreView {
  public:
-  /// A new watch begins its replay. `unconfirmed`: commands of a call of unknown outcome, which the store may
-  /// or may not show; empty: none.
-  void beginReplay(const Commands& unconfirmed);
+  /// A new watch begins its replay. `unconfirmed`: a call of unknown outcome, which the store may or may not
+  /// show; without commands: none.
+  void beginReplay(const Call& unconfirmed);
   /// A call was sent. During a replay the store may or may not show it.
-  void onCallSent(const Commands& call);
+  void onCallSent(const Call& call);
   /// The relay has accepted a command: the store holds it from now on.
   void onCommandAccepted(const Command& command);
   /// Applies one watch event and appends the engine's events for what it changes.
@@ -32,9 +32,8 @@
 
   bool replaying() const { return replaying_; }
   bool isConnected(ProxyId proxy) const { return proxies_.count(proxy) > 0; }
-  /// Whether the last replay showed routes of its unconfirmed call: that call was executed. Holds until the
-  /// next replay begins.
-  bool unconfirmedCallExecuted() const { return unconfirmedCallExecuted_; }
+  /// Whether the last replay showed routes that only this call explains: it was executed.
+  bool showsCall(CallId call) const { return shownCalls_.count(call) > 0; }
   /// Number of proxies, slices, routes and calls that are held.
   std::size_t recordCount() const;
 
@@ -52,14 +51,14 @@
     /// The tables as the replay began.
     Tables tablesBefore;
     /// Calls that the store may show beyond those tables, in the order they were sent.
-    std::vector<Commands> calls;
-    /// The first of `calls` is the unconfirmed one.
-    bool hasUnconfirmedCall = false;
+    std::vector<Call> calls;
   };
 
   struct EventApplier;
   static bool sameRoutes(const Routes& left, const Routes& right);
+  static bool contains(const std::vector<Routes>& candidates, const Routes& routes);
   static void applyCommand(const Command& command, Tables& tables);
+  static Routes routesAfter(const Call& call, TableId slice, const Routes& before);
   void onProxyConnected(const ProxyConnected& event, std::vector<Event>& events);
   void onProxyDisconnected(const ProxyDisconnected& event, std::vector<Event>& events);
   void onSliceAssignment(const SliceAssignment& event, std::vector<Event>& events);
@@ -67,12 +66,16 @@
   void onAcknowledged(const UpdateAcknowledged& event, std::vector<Event>& events) const;
   void endSliceReplay(std::vector<Event>& events);
   bool explainsRoutes(TableId slice, const Routes& shown);
+  std::vector<Call> callsFor(TableId slice) const;
+  void recordShownCalls(const std::vector<Call>& calls, TableId slice, const Routes& shown);
+  static bool isPossibleWithout(CallId omitted, const std::vector<Call>& calls, TableId slice,
+                                const Routes& before, const Routes& shown);
 
   std::set<ProxyId> proxies_;
   /// Slices that are assigned to this supervisor, with the routes that the store holds.
   Tables tables_;
   bool replaying_ = false;
-  bool unconfirmedCallExecuted_ = false;
+  std::set<CallId> shownCalls_;
   Replay replay_;
 };
 
--- a/src/relay/update_calls.cpp
+++ b/src/relay/update_calls.cpp
@@ -54,19 +54,19 @@
 }
 
 std::size_t UpdateCalls::recordCount() const {
-  return pending_.size() + inFlight_.size() + unconfirmed_.size() + droppedCommands_.size();
+  return pending_.size() + inFlight_.commands.size() + unconfirmed_.commands.size() + droppedCommands_.size();
 }
 
 std::string UpdateCalls::beginCall() {
   ++counts_.calls;
   ++messages_;
-  inFlight_.clear();
+  inFlight_ = Call{counts_.calls, {}};
   std::string text;
   while (!pending_.empty()) {
     Command& command = pending_.front();
-    if (!inFlight_.empty() && text.size() + 1 + command.text.size() > kCallBytesMax) break;
+    if (!inFlight_.commands.empty() && text.size() + 1 + command.text.size() > kCallBytesMax) break;
     text += (text.empty() ? "" : ";") + command.text;
-    inFlight_.push_back(std::move(command));
+    inFlight_.commands.push_back(std::move(command));
     pending_.pop_front();
   }
   state_ = DeliveryState::AwaitingReply;
@@ -76,7 +76,7 @@
 CallResult UpdateCalls::onReply(const std::string& line) {
   if (isAcceptance(line)) {
     const auto count = acceptedCount(line);
-    if (!count || *count > inFlight_.size()) return CallResult::Malformed;
+    if (!count || *count > inFlight_.commands.size()) return CallResult::Malformed;
     return onCount(*count);
   }
   if (isError(line, "throttled")) {
@@ -92,14 +92,14 @@
 CallResult UpdateCalls::onCount(std::size_t accepted) {
   ++counts_.answered;
   invalidReplies_ = 0;
-  if (accepted == inFlight_.size()) {
+  if (accepted == inFlight_.commands.size()) {
     rejectedCommand_.clear();
     onCallExecuted();
     return CallResult::Accepted;
   }
   reportAccepted(accepted);
   // A corrupt count must not lose a command: it is left out only when the relay halts there twice.
-  const std::string& halted = inFlight_[accepted].text;
+  const std::string& halted = inFlight_.commands[accepted].text;
   const bool repeated = halted == rejectedCommand_;
   rejectedCommand_ = halted;
   if (repeated) droppedCommands_.push_back(rejectedCommand_);
@@ -109,8 +109,8 @@
 
 CallResult UpdateCalls::giveUpInvalid() {
   invalidReplies_ = 0;
-  rejectedCommand_ = inFlight_.empty() ? "" : inFlight_.front().text;
-  inFlight_.clear();
+  rejectedCommand_ = inFlight_.commands.empty() ? "" : inFlight_.commands.front().text;
+  inFlight_ = Call();
   pending_.clear();
   onCallExecuted();
   return CallResult::Invalid;
@@ -118,17 +118,17 @@
 
 void UpdateCalls::reportAccepted(std::size_t count) const {
   if (!accepted_) return;
-  for (std::size_t k = 0; k < count; ++k) accepted_(inFlight_[k]);
+  for (std::size_t k = 0; k < count; ++k) accepted_(inFlight_.commands[k]);
 }
 
 // With the last call of an update the whole update is accepted.
 void UpdateCalls::onCallExecuted() {
-  reportAccepted(inFlight_.size());
-  inFlight_.clear();
+  reportAccepted(inFlight_.commands.size());
+  inFlight_ = Call();
   state_ = DeliveryState::Idle;
   if (!pending_.empty()) return;
   state_ = DeliveryState::Delivered;
-  unconfirmed_.clear();
+  unconfirmed_ = Call();
   droppedCommands_.clear();
 }
 
@@ -141,7 +141,7 @@
 
 // The update that follows holds what is still wanted of it.
 void UpdateCalls::discardUndelivered() {
-  inFlight_.clear();
+  inFlight_ = Call();
   pending_.clear();
   state_ = DeliveryState::Idle;
 }
@@ -152,20 +152,25 @@
 }
 
 void UpdateCalls::onAcknowledged(int updateId) {
-  if (!undelivered()) return;
-  const bool requested = std::any_of(unconfirmed_.begin(), unconfirmed_.end(), [&](const Command& command) {
+  const Commands& commands = unconfirmed_.commands;
+  const bool requested = std::any_of(commands.begin(), commands.end(), [&](const Command& command) {
     return requestedAcknowledgement(command) == updateId;
   });
-  if (requested) onUnconfirmedCallExecuted();
+  if (requested) onCallShown(unconfirmed_.id);
+}
+
+// A later call may be the undelivered one by now: what shows an earlier one says nothing of it.
+void UpdateCalls::onCallShown(CallId call) {
+  const bool isUndelivered = undelivered() && call != 0 && call == inFlight_.id;
+  if (isUndelivered && call == unconfirmed_.id) onUnconfirmedCallExecuted();
 }
 
 void UpdateCalls::onUnconfirmedCallExecuted() {
-  if (!undelivered() || inFlight_.empty() || unconfirmed_.empty()) return;
   ++counts_.confirmed;
   invalidReplies_ = 0;
   if (pending_.empty()) return onCallExecuted();
-  reportAccepted(inFlight_.size());  // the rest of the update is still undelivered
-  inFlight_.clear();
+  reportAccepted(inFlight_.commands.size());  // the rest of the update is still undelivered
+  inFlight_ = Call();
 }
 
 bool UpdateCalls::hasDelivery() const {
--- a/src/relay/update_calls.h
+++ b/src/relay/update_calls.h
@@ -60,8 +60,8 @@
   void onConnectionLost();
   /// A proxy has acknowledged an update: evidence that the call which asked for it was executed.
   void onAcknowledged(int updateId);
-  /// The store shows that the unconfirmed call was executed.
-  void onUnconfirmedCallExecuted();
+  /// The store shows that a call was executed. Counts only if its outcome is the one that is unknown.
+  void onCallShown(CallId call);
 
   /// Whether the fate of the update is known and not taken yet.
   bool hasDelivery() const;
@@ -69,9 +69,10 @@
   UpdateDelivery takeDelivery();
 
   /// Commands of the call that awaits its reply, or of the last call of an undelivered update.
-  const Commands& inFlight() const { return inFlight_; }
-  /// Commands of the last call whose outcome is unknown, until an update has been accepted since.
-  const Commands& unconfirmed() const { return unconfirmed_; }
+  const Call& inFlight() const { return inFlight_; }
+  /// The last call whose outcome is unknown, until an update has been accepted since. Later calls may have
+  /// been sent meanwhile.
+  const Call& unconfirmed() const { return unconfirmed_; }
   /// Calls `sink` for each command that the relay has accepted, in order.
   void onAccepted(std::function<void(const Command&)> sink) { accepted_ = std::move(sink); }
   /// The command that the relay last halted at, or the first one of the call that it rejected as invalid.
@@ -103,6 +104,7 @@
   CallResult giveUpInvalid();
   void reportAccepted(std::size_t count) const;
   void onCallExecuted();
+  void onUnconfirmedCallExecuted();
   void endUndelivered(Execution execution);
   void discardUndelivered();
 
@@ -115,8 +117,8 @@
   /// Replies `invalid` in a row.
   int invalidReplies_ = 0;
   std::deque<Command> pending_;
-  Commands inFlight_;
-  Commands unconfirmed_;
+  Call inFlight_;
+  Call unconfirmed_;
   std::string rejectedCommand_;
   /// Texts of commands that the relay halted at twice, left out until an update is accepted.
   std::vector<std::string> droppedCommands_;
--- a/tests/relay/relay_client_test.cpp
+++ b/tests/relay/relay_client_test.cpp
@@ -183,6 +183,29 @@
   EXPECT_TRUE(log.has("watch ended code=reset"));
 }
 
+// A replay that shows one call must not confirm a call that is lost later in the same watch.
+TEST_F(RelayClientTest, CallLostAfterAReplayShowedAnEarlierOneIsReportedAsIncomplete) {
+  fakeRelay.slices[5] = {{"s", "1"}};
+  Limits limits;
+  limits.replayDuration = 0;
+  limits.reconnectDelayMin = 300000;  // so that a watch event arrives before the lost call is reported
+  start(limits);
+  ASSERT_TRUE(until([&] { return otherEvents() == 2; }));
+  fakeRelay.faults = {Fault::BreakAfter};
+  dispatcher.dispatch({SetRoute{5, "t", 1}, AcknowledgementRequest{1}});  // not sent again
+  ASSERT_TRUE(until([&] { return incomplete == 1; }));
+  fakeRelay.breakNews();
+  ASSERT_TRUE(untilWatches(2));
+  fakeRelay.life();
+  fakeRelay.faults = {Fault::BreakBefore};
+  update({SetEjection{"s", EjectionState::Ejected}, AcknowledgementRequest{2}});
+  ASSERT_TRUE(until([&] { return relay->counts().undelivered == 2; }));
+  fakeRelay.life();
+  EXPECT_TRUE(until([&] { return fakeRelay.orders.size() == 4; })) << "the ejection is sent again";
+  EXPECT_EQ(incomplete, 2u);
+  EXPECT_EQ(relay->counts().confirmed, 0u);
+}
+
 // A relay that vanishes without a reset sends no more heartbeats.
 TEST_F(RelayClientTest, SilentWatchIsReconnected) {
   fakeRelay.lifeSigns = false;
--- a/tests/relay/store_view_test.cpp
+++ b/tests/relay/store_view_test.cpp
@@ -15,6 +15,17 @@
   void read(const std::vector<const char*>& lines) {
     for (const char* line : lines) view.apply(parseWatchEvent(line, testNames(), 100), events);
   }
+  static Call call(CallId id, const std::vector<Action>& actions) {
+    Call call{id, {}};
+    for (const Action& action : actions) call.commands.push_back(*encodeCommand(action, testNames()));
+    return call;
+  }
+  void showSliceFiveOnS() {
+    view.beginReplay({});
+    read({"* owner 5 1", "* entry 5 s 1.0", "*"});
+    view.endReplay(events);
+    takeEventCount();
+  }
   std::size_t takeEventCount() {
     const std::size_t n = events.size();
     events.clear();
@@ -84,17 +95,36 @@
   read({"* owner 5 1", "* entry 5 s 1.0", "*"});
   view.endReplay(events);
   takeEventCount();
-  const Commands unconfirmed = {*encodeCommand(SetRoute{5, "t", 1}, testNames()),
-                                *encodeCommand(SetRoute{5, "s", 0}, testNames())};
+  const Call unconfirmed = call(3, {SetRoute{5, "t", 1}, SetRoute{5, "s", 0}});
   view.beginReplay(unconfirmed);
   read({"* owner 5 1", "* entry 5 s 1.0", "*"});
-  EXPECT_FALSE(view.unconfirmedCallExecuted());
+  EXPECT_FALSE(view.showsCall(3));
   view.beginReplay(unconfirmed);
   read({"* owner 5 1", "* entry 5 t 1.0", "*"});
-  EXPECT_TRUE(view.unconfirmedCallExecuted());
+  EXPECT_TRUE(view.showsCall(3));
   EXPECT_EQ(takeEventCount(), 0u) << "the routes are the supervisor's own";
 }
 
+// The routes of a later call must not pass for those of the unconfirmed one: its update would be lost.
+TEST_F(StoreViewTest, RoutesOfALaterCallDoNotConfirmAnEarlierOne) {
+  showSliceFiveOnS();
+  view.beginReplay(call(3, {SetRoute{5, "t", 1}}));
+  view.onCallSent(call(4, {SetRoute{5, "t", 0}, SetRoute{5, "u", 1}}));
+  read({"* owner 5 1", "* entry 5 s 1.0", "* entry 5 u 1.0", "*"});
+  EXPECT_EQ(takeEventCount(), 0u);
+  EXPECT_FALSE(view.showsCall(3));
+  EXPECT_TRUE(view.showsCall(4));
+}
+
+TEST_F(StoreViewTest, RoutesThatTwoCallsExplainConfirmNeither) {
+  showSliceFiveOnS();
+  view.beginReplay(call(3, {SetRoute{5, "t", 1}}));
+  view.onCallSent(call(4, {SetRoute{5, "t", 1}}));
+  read({"* owner 5 1", "* entry 5 s 1.0", "* entry 5 t 1.0", "*"});
+  EXPECT_FALSE(view.showsCall(3));
+  EXPECT_FALSE(view.showsCall(4));
+}
+
 // An own call in between must not make a slice count as assigned anew: its admission ratios would be lost.
 TEST_F(StoreViewTest, OwnCallsDuringAReplayAreExpected) {
   view.beginReplay({});
@@ -104,12 +134,12 @@
   const Command five = *encodeCommand(SetRoute{5, "t", 1}, testNames());
   const Command six = *encodeCommand(SetRoute{6, "t", 1}, testNames());
   view.beginReplay({});
-  view.onCallSent({five});
+  view.onCallSent({1, {five}});
   view.onCommandAccepted(five);
-  view.onCallSent({six});
+  view.onCallSent({2, {six}});
   read({"* owner 5 1", "* entry 5 s 1.0", "* entry 5 t 1.0", "* owner 6 1", "* entry 6 s 1.0", "*"});
   EXPECT_EQ(takeEventCount(), 0u);
-  EXPECT_FALSE(view.unconfirmedCallExecuted());
+  EXPECT_FALSE(view.showsCall(0)) << "there was no unconfirmed call";
 }
 
 TEST_F(StoreViewTest, RoutesOfUnassignedSlicesAreIgnored) {
@@ -146,7 +176,7 @@
       calls.addUpdate(update);
       calls.beginCall();
     }
-    calls.onReply("OK " + std::to_string(calls.inFlight().size()));
+    calls.onReply("OK " + std::to_string(calls.inFlight().commands.size()));
     calls.takeDelivery();
     if (round % 10 == 0) {
       view.apply(SliceAssignment{7, true}, events);
--- a/tests/relay/update_calls_test.cpp
+++ b/tests/relay/update_calls_test.cpp
@@ -41,7 +41,7 @@
   while (calls.needsConnection()) {
     const std::string call = calls.beginCall();
     EXPECT_LE(call.size() - 8, UpdateCalls::kCallBytesMax);
-    const std::size_t commands = calls.inFlight().size();
+    const std::size_t commands = calls.inFlight().commands.size();
     count += commands;
     ++rounds;
     ASSERT_EQ(calls.onReply("OK " + std::to_string(commands)), CallResult::Accepted);
@@ -69,7 +69,7 @@
   for (int call = 1; call <= 3; ++call) {
     EXPECT_EQ(takenDelivery(calls), "") << call;
     calls.beginCall();
-    calls.onReply("OK " + std::to_string(calls.inFlight().size()));
+    calls.onReply("OK " + std::to_string(calls.inFlight().commands.size()));
   }
   EXPECT_EQ(takenDelivery(calls), "3 accepted 3");
   EXPECT_EQ(takenDelivery(calls), "") << "reported once";
@@ -134,12 +134,12 @@
   EXPECT_TRUE(calls.undelivered());
   EXPECT_EQ(takenDelivery(calls), "1 incomplete 1");
   EXPECT_FALSE(calls.needsConnection());
-  EXPECT_EQ(calls.unconfirmed().size(), 2u);
+  EXPECT_EQ(calls.unconfirmed().commands.size(), 2u);
   add({SetRoute{1, "s", 2}, AcknowledgementRequest{2}});
   EXPECT_EQ(calls.beginCall(), "APPLY put,1,s,2;fence,2,0\r\n");
-  EXPECT_EQ(calls.unconfirmed().size(), 2u) << "the store may still show it";
+  EXPECT_EQ(calls.unconfirmed().commands.size(), 2u) << "the store may still show it";
   calls.onReply("OK 2");
-  EXPECT_TRUE(calls.unconfirmed().empty());
+  EXPECT_TRUE(calls.unconfirmed().commands.empty());
 }
 
 TEST_F(UpdateCallsTest, UpdateThatWasNeverSentCountsNoMessage) {
@@ -161,6 +161,19 @@
   EXPECT_EQ(accepted.size(), 2u);
 }
 
+// Evidence for an earlier call must not settle a later one that was not executed: its commands would be lost.
+TEST_F(UpdateCallsTest, AcknowledgementOfAnEarlierCallDoesNotConfirmAThrottledOne) {
+  add({SetRoute{1, "s", 1}, AcknowledgementRequest{1}});
+  calls.beginCall();
+  calls.onConnectionLost();
+  EXPECT_EQ(takenDelivery(calls), "1 incomplete 1");
+  add({SetRoute{1, "s", 2}, AcknowledgementRequest{2}});
+  calls.beginCall();
+  EXPECT_EQ(calls.onReply("ERR throttled"), CallResult::Throttled);
+  calls.onAcknowledged(1);
+  EXPECT_EQ(takenDelivery(calls), "2 incomplete 0");
+}
+
 TEST_F(UpdateCallsTest, MalformedRepliesAreReported) {
   for (const char* answer : {"", "OK", "OK x", "OK 3", "OK -1", "OK 1 2", "\x01\x02", "what"}) {
     add({SetRoute{1, "s", 1}});
