Acknowledgements lost with a silent watch are asked for again: drains go on

Cause: what is in flight is counted by acknowledgements, which come on the watch. Those that came while it was silent are in no replay, and as the channel then counted as full, no update went that could have brought new ones.

Change: a replaced watch reports AcknowledgementsMissed; the next update then goes in parts, or one that only asks for acknowledgements does. The account of the channel is as before. Recorded decisions do not change.

Same fault elsewhere: a handover of a single-owner slice waited without end.

Tests: both engine tests fail where the event is ignored (65 slices left on draining servers; no owner); the model's pending limit holds with silent watches.

--- a/include/peargrade/events.h
+++ b/include/peargrade/events.h
@@ -156,6 +156,10 @@
   Micros delay = 0;
 };
 
+/// UpdateAcknowledged events may have been missed; those of later updates will come. What was sent before
+/// counts as in flight until an acknowledgement of a later update shows that it is not.
+struct AcknowledgementsMissed {};
+
 /// Other settings, as a whole, from here on: decisions of this batch and later follow them. The classes in
 /// number and order, `slices`, `proxies`, `sliceOwnership` and `admissionUnit` are those of the start; with
 /// another number of classes the event is ignored.
@@ -163,8 +167,9 @@
   Settings settings;
 };
 
-using Event = std::variant<EndpointListUpdate, TimerFired, HealthCheckResult, GossipReceived, ProxyConnected,
-                           ProxyDisconnected, ServerLoadReport, ProxyLoadReport, SliceLoadReport,
-                           SliceAssignment, StoredRoute, UpdateDelivery, UpdateAcknowledged, SettingsChanged>;
+using Event =
+    std::variant<EndpointListUpdate, TimerFired, HealthCheckResult, GossipReceived, ProxyConnected,
+                 ProxyDisconnected, ServerLoadReport, ProxyLoadReport, SliceLoadReport, SliceAssignment,
+                 StoredRoute, UpdateDelivery, UpdateAcknowledged, AcknowledgementsMissed, SettingsChanged>;
 
 }  // namespace peargrade
--- a/src/decision/decision_engine_impl.h
+++ b/src/decision/decision_engine_impl.h
@@ -56,6 +56,7 @@
   void on(const StoredRoute& event);
   void on(const UpdateDelivery& event) { updates_.recordDelivery(event, servers_, slices_); }
   void on(const UpdateAcknowledged& event) { updates_.recordAcknowledgement(event, slices_); }
+  void on(const AcknowledgementsMissed&) { budget_.recordMissedAcknowledgements(); }
   // Nothing is decided by gossip and the demand of single proxies; a timer only makes a decision due.
   void on(const GossipReceived&) {}
   void on(const ProxyLoadReport&) {}
--- a/src/decision/update_budget.cpp
+++ b/src/decision/update_budget.cpp
@@ -58,17 +58,28 @@
   return routes / receivers() - messageOverhead();
 }
 
+bool UpdateBudget::hasMessageLeft(UpdatePriority priority) {
+  if (settings_.messagesPerProxyMax <= 0) return true;
+  const double mostMessages = shareOf(priority).messages * settings_.messagesPerProxyMax;
+  return channel_.messagesWithin(clock_.now(), settings_.messageWindow) < mostMessages;
+}
+
+bool UpdateBudget::mayAskForAcknowledgements() {
+  if (!acknowledgementsMissed_ || !hasMessageLeft(UpdatePriority::Critical)) return false;
+  return routesInFlight() + messageOverhead() * receivers() <= settings_.pendingRoutesMax;
+}
+
 bool UpdateBudget::maySend(UpdatePriority first, double routes, bool isRetry) {
-  const double mostMessages = shareOf(first).messages * settings_.messagesPerProxyMax;
-  const double messages = channel_.messagesWithin(clock_.now(), settings_.messageWindow);
-  if (messages >= mostMessages && settings_.messagesPerProxyMax > 0) return false;
-  const double least = isRetry ? 1 : kLeastMessageShare * emptyChannelCapacity(first);
+  if (!hasMessageLeft(first)) return false;
+  const bool goesInParts = isRetry || acknowledgementsMissed_;
+  const double least = goesInParts ? 1 : kLeastMessageShare * emptyChannelCapacity(first);
   if (routesInFlight() > 0 && capacityLeft(first) < std::min(routes, least)) return false;
   return first <= UpdatePriority::Evacuation || clock_.now() - lastSentAt_ >= kRoutineInterval;
 }
 
 int UpdateBudget::send(double routes) {
   lastSentAt_ = clock_.now();
+  acknowledgementsMissed_ = false;
   return channel_.send(clock_.now(), routes, receivers(), slowestRate());
 }
 
--- a/src/decision/update_budget.h
+++ b/src/decision/update_budget.h
@@ -47,9 +47,14 @@
   /// Routes that a message to each proxy may hold now.
   [[nodiscard]] double capacityLeft(UpdatePriority priority) const;
   /// Whether an update that starts with a priority, and has so many routes of it, may go now. An update waits
-  /// for capacity for all of them or a good part of a message; after an incomplete delivery for any, since
-  /// its acknowledgement shows what has left.
+  /// for capacity for all of them or a good part of a message; after an incomplete delivery or missed
+  /// acknowledgements for any, since its acknowledgement shows what has left.
   [[nodiscard]] bool maySend(UpdatePriority first, double routes, bool isRetry);
+  /// The acknowledgements of updates sent so far may never be seen: the next update makes up for them.
+  void recordMissedAcknowledgements() { acknowledgementsMissed_ = true; }
+  /// Whether acknowledgements were missed, nothing was sent since, and an update that only asks for them may
+  /// go now. It may use the whole pending limit: nothing is sent before what it shows is known.
+  [[nodiscard]] bool mayAskForAcknowledgements();
   /// Records an update as sent now. Returns its id.
   int send(double routes);
   void recordDelivery(int messages);
@@ -58,11 +63,14 @@
 
  private:
   [[nodiscard]] double slowestRate() const;
+  /// Whether the message limit lets a message of this priority through.
+  [[nodiscard]] bool hasMessageLeft(UpdatePriority priority);
 
   const Settings& settings_;
   const Clock& clock_;
   UpdateChannel& channel_;
   Micros lastSentAt_ = 0;
+  bool acknowledgementsMissed_ = false;
 };
 
 }  // namespace peargrade::decision
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -53,6 +53,8 @@
   budget_.recordDelivery(event.messages);
   if (!delivery_.needsRetry()) return;
   for (const Action& action : update) markUncertain(action, servers, slices);
+  const bool onlyAsked = update.size() == 1;
+  if (onlyAsked) budget_.recordMissedAcknowledgements();
 }
 
 // A slice that was assigned since the update was sent has the table that the store holds.
@@ -85,15 +87,15 @@
   if (channel_.proxyCount() == 0 || delivery_.isAwaitingOutcome()) return;
   std::vector<PendingUpdate> pending = pendingUpdates(servers, slices);
   const std::size_t ejections = sources_.ejections.plan(servers, slices).size();
-  if (pending.empty() && ejections == 0) return;
   std::sort(pending.begin(), pending.end());
-  if (!maySend(pending, ejections)) return;
-  std::vector<Action> update = fillUpdate(pending, servers, slices);
-  if (update.empty()) return;
+  std::vector<Action> update;
+  if (maySend(pending, ejections)) update = fillUpdate(pending, servers, slices);
+  const bool onlyAsks = update.empty();
+  if (onlyAsks && !mayAskForAcknowledgements()) return;
   dropSuperseded(update);
   const double routes = budget_.messageOverhead() + static_cast<double>(update.size());
   const int updateId = budget_.send(routes);
-  update.emplace_back(AcknowledgementRequest{updateId, settings_.hasSingleOwnerSlices()});
+  update.emplace_back(AcknowledgementRequest{updateId, onlyAsks || settings_.hasSingleOwnerSlices()});
   for (const Action& action : update) actions_.add(action);
   if (!settings_.deliveryReported) {
     delivery_.sendUntracked();
@@ -152,6 +154,7 @@
 }
 
 bool UpdateScheduler::maySend(const std::vector<PendingUpdate>& updates, std::size_t ejections) const {
+  if (updates.empty() && ejections == 0) return false;
   const UpdatePriority first = ejections > 0 ? UpdatePriority::Critical : updates.front().priority;
   auto routes = static_cast<double>(ejections);
   for (const PendingUpdate& pending : updates)
@@ -159,6 +162,11 @@
   return budget_.maySend(first, routes, delivery_.needsRetry());
 }
 
+bool UpdateScheduler::mayAskForAcknowledgements() const {
+  const bool isAwaited = budget_.routesInFlight() > 0 || settings_.hasSingleOwnerSlices();
+  return isAwaited && budget_.mayAskForAcknowledgements();
+}
+
 std::vector<Action> UpdateScheduler::fillUpdate(const std::vector<PendingUpdate>& updates, ServerMap& servers,
                                                 SliceMap& slices) {
   std::vector<Action> update;
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -68,6 +68,8 @@
                   std::vector<PendingUpdate>& updates) const;
   void planFleetAdmission(std::vector<PendingUpdate>& updates) const;
   [[nodiscard]] bool maySend(const std::vector<PendingUpdate>& updates, std::size_t ejections) const;
+  /// Whether an update may go that only asks for acknowledgements, to make up for missed ones.
+  [[nodiscard]] bool mayAskForAcknowledgements() const;
   [[nodiscard]] std::vector<Action> fillUpdate(const std::vector<PendingUpdate>& updates, ServerMap& servers,
                                                SliceMap& slices);
   /// Adds actions as far as there is capacity, and records them as published. Returns whether there was.
--- a/src/relay/relay_client.cpp
+++ b/src/relay/relay_client.cpp
@@ -62,10 +62,18 @@
   const UpdateCalls& calls = calls_.calls();
   view_.beginReplay(calls.unconfirmed());
   if (calls.awaitingReply()) view_.onCallSent(calls.inFlight());
+  reportMissedAcknowledgements();
   dispatcher_.relayConnected();
   calls_.leaveFormerAddress();
 }
 
+// A replay shows what stands. Acknowledgements that came between the last line of the former watch and now
+// are in neither.
+void RelayClient::reportMissedAcknowledgements() {
+  if (hasWatched_) batch_.add({AcknowledgementsMissed{}}, Continuation::Complete);
+  hasWatched_ = true;
+}
+
 // A corrupt acknowledgement costs itself alone: the next one of its proxy covers it. No other line may be
 // missed: the watch ends, and a new one replays the store.
 void RelayClient::onWatchLine(const std::string& line) {
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -40,6 +40,7 @@
  private:
   void sendUpdate(const dispatch::Dispatcher::TableUpdate& update);
   void onWatchOpened();
+  void reportMissedAcknowledgements();
   void onWatchLine(const std::string& line);
   void onWatchEvent(const WatchEvent& event);
   void onUnreadableAcknowledgement(const std::string& error);
@@ -52,6 +53,8 @@
   StoreView view_;
   EventBatch batch_;
   std::uint64_t unreadableAcknowledgements_ = 0;
+  /// A watch was open before.
+  bool hasWatched_ = false;
   CallConnection calls_;
   WatchConnection watch_;
 };
--- a/tests/decision/slice_ownership_test.cpp
+++ b/tests/decision/slice_ownership_test.cpp
@@ -33,6 +33,21 @@
     EXPECT_EQ(supervisor.routes[slice].size(), 1U) << "slice " << slice;
 }
 
+// A handover waits for acknowledgements: where they were lost with a silent watch, nothing else asks for
+// more.
+TEST(SingleOwnerSlice, GetsItsNewOwnerThoughAcknowledgementsOfTheRemovalWereMissed) {
+  SimulatedSupervisor supervisor(singleOwnerSettings());
+  supervisor.startAndRun(8, 8 * kSecond);
+  supervisor.acknowledgesUpdates = false;
+  supervisor.updateEndpoint("s_b", EndpointState::Draining);
+  supervisor.run(2500 * kMillisecond);
+  ASSERT_TRUE(supervisor.routes[1].empty());
+  supervisor.acknowledgesUpdates = true;
+  supervisor.handle({AcknowledgementsMissed{}});
+  supervisor.run(supervisor.settings.drainGrace);
+  EXPECT_EQ(supervisor.routes[1].size(), 1U);
+}
+
 // The old owner's route goes first. The new owner's waits for every proxy's acknowledgement and in-flight
 // writes.
 TEST(SingleOwnerSlice, GetsANewOwnerOnlyWhenTheWritesToTheOldOneHaveEnded) {
--- a/tests/decision/update_delivery_test.cpp
+++ b/tests/decision/update_delivery_test.cpp
@@ -247,5 +247,71 @@
   }
 }
 
+/// A channel that holds a part of what a drain of half of the servers needs.
+class MissedAcknowledgementsTest : public testing::Test {
+ protected:
+  static constexpr int kServers = 20;
+  static constexpr int kDraining = 10;
+  static constexpr int kSlices = 120;
+
+  static Settings narrowChannelSettings() {
+    Settings settings = testSettings();
+    settings.slices = kSlices;
+    settings.routesPerSecond = 160;
+    settings.pendingRoutesMax = 240;
+    return settings;
+  }
+  void drain(int first, int end) {
+    EndpointListUpdate update{EndpointListKind::Delta, 0, {}};
+    for (int index = first; index < end; ++index) {
+      Endpoint& endpoint = supervisor.endpoints[SimulatedSupervisor::serverName(index)];
+      endpoint.state = EndpointState::Draining;
+      update.endpoints.push_back(endpoint);
+    }
+    supervisor.handle({update});
+  }
+  /// Half of the servers drain in two steps while acknowledgements are lost, as with a watch that has fallen
+  /// silent. The first step fills the channel.
+  void drainInSilence() {
+    supervisor.startAndRun(kSlices, 20 * kSecond);
+    supervisor.acknowledgesUpdates = false;
+    drain(0, kDraining / 2);
+    supervisor.run(500 * kMillisecond);
+    drain(kDraining / 2, kDraining);
+    supervisor.run(2 * kSecond);
+    supervisor.acknowledgesUpdates = true;
+  }
+  /// Slices whose requests may still go to a draining server.
+  int slicesOnDrainingServers() const {
+    int count = 0;
+    for (int index = 0; index < kDraining; ++index) {
+      const ServerId server = SimulatedSupervisor::serverName(index);
+      for (const auto& [slice, table] : supervisor.routes) count += static_cast<int>(table.count(server));
+    }
+    return count;
+  }
+
+  Settings settings = narrowChannelSettings();
+  SimulatedSupervisor supervisor{settings, kServers};
+};
+
+// Without the event the engine takes the channel for full until its slowest rate has emptied it.
+TEST_F(MissedAcknowledgementsTest, DrainIsFinishedWithinItsGraceAfterTheAcknowledgementsAreBack) {
+  drainInSilence();
+  ASSERT_GT(slicesOnDrainingServers(), 0) << "the channel holds all: the test shows nothing";
+  supervisor.handle({AcknowledgementsMissed{}});
+  supervisor.run(settings.drainGrace);
+  EXPECT_EQ(slicesOnDrainingServers(), 0);
+}
+
+TEST_F(MissedAcknowledgementsTest, NothingIsAskedForWhereNothingIsInFlight) {
+  supervisor.startAndRun(kSlices, 20 * kSecond);
+  supervisor.run(20 * kSecond);
+  const std::size_t updates = supervisor.updateTimes.size();
+  supervisor.handle({AcknowledgementsMissed{}});
+  supervisor.run(kSecond);
+  EXPECT_EQ(supervisor.updateTimes.size(), updates);
+}
+
 }  // namespace
 }  // namespace peargrade
--- a/tests/relay/relay_client_test.cpp
+++ b/tests/relay/relay_client_test.cpp
@@ -183,6 +183,18 @@
   EXPECT_TRUE(log.has("watch ended code=reset"));
 }
 
+// What proxies acknowledged while the former watch was silent is in no replay: the engine has to ask again.
+TEST_F(RelayClientTest, ReplacedWatchReportsThatAcknowledgementsMayHaveBeenMissed) {
+  Limits limits;
+  limits.watchIdleTimeout = 100000;
+  start(limits);
+  ASSERT_TRUE(untilWatches());
+  EXPECT_TRUE(seen.all<AcknowledgementsMissed>().empty()) << "the first watch has missed nothing";
+  fakeRelay.lifeSigns = false;  // the watch stays open and silent
+  ASSERT_TRUE(untilWatches(2));
+  EXPECT_TRUE(until([&] { return seen.all<AcknowledgementsMissed>().size() == 1; }));
+}
+
 // A replay that shows one call must not confirm a call that is lost later in the same watch.
 TEST_F(RelayClientTest, CallLostAfterAReplayShowedAnEarlierOneIsReportedAsIncomplete) {
   fakeRelay.slices[5] = {{"s", "1"}};
