Servers that all drained in turn are readmitted: none stayed usable before

Callers: no request was served for 50 s and without a visible end, though the endpoint list said that all servers were ready.

Cause: where no server accepts slices, a slice on an ejected server migrated to another ejected one, at each decision anew. Each migration left a stale route, and a server is readmitted only once no table holds a stale route to it.

Evidence: in the failing case each decision migrated all 200 slices, updates set routes and removed none.

Change: a slice stays on a ready server that waits for its readmission; where no server is usable, ready servers that are no outliers are readmitted at once.

--- a/src/decision/ejection_planner.cpp
+++ b/src/decision/ejection_planner.cpp
@@ -1,5 +1,7 @@
 #include "decision/ejection_planner.h"
 
+#include <algorithm>
+
 #include "decision/route_usage.h"
 
 namespace peargrade::decision {
@@ -16,11 +18,15 @@
   const RouteUsage usage = routeUsage(slices, [&](const ServerId& id) { return isRoutable(servers.at(id)); });
   const double queueingTime = budget_.routesInFlight() / settings_.routesPerSecond * kSecond;
   const Micros deliveryTime = settings_.pushDelayMax + static_cast<Micros>(queueingTime);
+  const bool hasUsableServer =
+      std::any_of(servers.begin(), servers.end(), [](const auto& entry) { return entry.second.isUsable(); });
   std::vector<SetEjection> ejections;
   for (const auto& [id, server] : servers) {
     const TableUse use{usage.published.count(id) > 0, usage.indispensable.count(id) > 0,
                        usage.stale.count(id) > 0};
-    const bool isWanted = shouldBeEjected(server, use, deliveryTime);
+    // Where no server is usable, stale routes to a ready one are better than none.
+    const bool isNeeded = !hasUsableServer && server.isReady() && !server.outlier.isOutlier();
+    const bool isWanted = !isNeeded && shouldBeEjected(server, use, deliveryTime);
     const bool isChange = isWanted != server.ejection.isEjected();
     if (!isChange && !server.ejection.needsRepeat()) continue;
     const EjectionState state = isWanted ? EjectionState::Ejected : EjectionState::Readmitted;
--- a/src/decision/evacuation.cpp
+++ b/src/decision/evacuation.cpp
@@ -35,10 +35,20 @@
   const auto accepts = [&](const ServerState& server) { return placement_.acceptsSlices(server); };
   to = placement_.coolest(servers, slice, typicalPressure, accepts);
   if (!to.empty()) return to;
+  if (isReadmissionPending(servers, slice.primary)) return {};
   const auto isReady = [](const ServerState& server) { return server.isReady(); };
   return placement_.coolest(servers, slice, typicalPressure, isReady);
 }
 
+// Another ejected server would be no better, and each migration leaves a route that has to be removed before
+// the readmission.
+bool Evacuation::isReadmissionPending(const ServerMap& servers, const ServerId& id) {
+  const auto it = servers.find(id);
+  if (it == servers.end()) return false;
+  const ServerState& server = it->second;
+  return server.isReady() && !server.outlier.isOutlier() && server.ejection.isEjected();
+}
+
 const char* Evacuation::reasonToLeave(const ServerMap& servers, const SliceState& slice) const {
   if (slice.primary.empty()) return "no primary";
   const auto it = servers.find(slice.primary);
--- a/src/decision/evacuation.h
+++ b/src/decision/evacuation.h
@@ -29,6 +29,9 @@
  private:
   /// Why a slice must leave its primary server now, as a word for the log; nullptr: it need not.
   [[nodiscard]] const char* reasonToLeave(const ServerMap& servers, const SliceState& slice) const;
+  /// Whether a server is ready and only waits to be readmitted.
+  [[nodiscard]] static bool isReadmissionPending(const ServerMap& servers, const ServerId& id);
+  /// Where the slice goes; empty: it stays.
   [[nodiscard]] ServerId target(const ServerMap& servers, const SliceState& slice, double typicalPressure);
 
   const EndpointList& endpoints_;
--- a/tests/decision/load_estimator_test.cpp
+++ b/tests/decision/load_estimator_test.cpp
@@ -148,6 +148,19 @@
   EXPECT_EQ(ejections[0].state, EjectionState::Readmitted);
 }
 
+TEST_F(EjectionPlannerTest, ReadyServerIsReadmittedDespiteStaleRoutesWhereNoServerIsUsable) {
+  servers_["a"].endpoint.state = EndpointState::Ready;
+  for (const ServerId id : {"a", "b"}) servers_[id].ejection.publish(EjectionState::Ejected);
+  slices_.at(1).desired = {{"b", 1}};
+  slices_.at(1).primary = "b";
+  slices_.at(1).published.insert_or_assign("b", PublishedRoute::delivered(1));
+  EXPECT_EQ(planAfter(0).size(), 2u);
+  servers_["b"].endpoint.state = EndpointState::Draining;
+  const std::vector<SetEjection> ejections = planAfter(0);
+  ASSERT_EQ(ejections.size(), 1u) << "a draining server stays ejected";
+  EXPECT_EQ(ejections[0].server, "a");
+}
+
 TEST_F(EjectionPlannerTest, UnconfirmedEjectionIsPublishedAgain) {
   slices_.at(1).published.insert_or_assign("b", PublishedRoute::delivered(0.001));
   servers_["a"].ejection.publish(EjectionState::Ejected);
--- a/tests/decision/update_channel_model_test.cpp
+++ b/tests/decision/update_channel_model_test.cpp
@@ -12,6 +12,9 @@
 namespace peargrade {
 namespace {
 
+/// A server that drains is back, as a new process, after this time.
+constexpr Micros kBackAfterDrain = 9 * kSecond;
+
 struct Case {
   int proxies;
   int slices;
@@ -98,7 +101,7 @@
       EndpointListUpdate draining{EndpointListKind::Delta, 0, {supervisor->endpoints[name]}};
       draining.endpoints[0].state = EndpointState::Draining;
       post(draining);
-      schedule(9 * kSecond, [=] {
+      schedule(kBackAfterDrain, [=] {
         EndpointListUpdate back{EndpointListKind::Delta, 0, {supervisor->endpoints[name]}};
         back.endpoints[0].startedAt = supervisor->now;
         post(back);
@@ -331,9 +334,33 @@
   expectAllServed();
 }
 
+// Where every server drains in turn, all may be ejected at once: once all are ready again, the first is
+// readmitted within the time for which a slice may be unroutable.
+TEST_P(OvertakingChannelModel, ServersAreReadmittedAfterAllOfThemDrained) {
+  start();
+  for (int round = 0; round < 10; ++round) {
+    slow = 1 + chance.uniform() * 7;
+    for (int k = 0; k < 10; ++k) {
+      drain(1);
+      step(100 * kMillisecond + pick(150) * kMillisecond);
+    }
+    killMost();
+    for (int k = 0; k < 40; ++k) {
+      if (likely(0.3)) drain(1);
+      step(50 * kMillisecond + pick(150) * kMillisecond);
+    }
+  }
+  for (Micros end = supervisor->now + kBackAfterDrain; supervisor->now < end;) step(100 * kMillisecond);
+  for (Micros end = supervisor->now + settings.unroutableMax; supervisor->now < end;)
+    step(100 * kMillisecond);
+  EXPECT_LT(supervisor->ejectedServers.size(), supervisor->endpoints.size());
+  expectAllServed();
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, OvertakingChannelModel,
                          testing::Values(Case{10, 40, 1}, Case{150, 200, 3}, Case{500, 280, 5},
-                                         Case{500, 280, 6}, Case{2400, 285, 7}, Case{2400, 285, 8}),
+                                         Case{500, 280, 6}, Case{2400, 285, 7}, Case{2400, 285, 8},
+                                         Case{150, 200, 125}),
                          [](const auto& info) {
                            return "Proxies" + std::to_string(info.param.proxies) + "Seed" +
                                   std::to_string(info.param.seed);
