srv lookup: exit codes 4 and 5 where there is no such name or no record

Callers: scripts took a service that is not there for one that was found, since the command ended with 0.

Cause: the exit code said only how complete the answer is, and NXDOMAIN, an answer without records and the root as the only target are complete ones.

Change: the outcome is a type whose values are the exit codes (0 found, 1 no answer, 3 partial, 4 no such name, 5 no records; 2 stays wrong usage); the first line and `outcome` in the JSON name it.

Tests: LookupThatFindsNothingSaysWhyByItsExitCode fails in its six cases with the former return value (0 in place of 4 and 5) and passes now.

--- a/src/sources/commands.cpp
+++ b/src/sources/commands.cpp
@@ -47,12 +47,36 @@
                                                  : "failed";
 }
 
+LookupOutcome outcomeOf(const dns::Service& service) {
+  if (service.kind == dns::Service::Kind::Failed) return LookupOutcome::NoAnswer;
+  if (service.kind == dns::Service::Kind::Partial) return LookupOutcome::Partial;
+  if (service.verdict == dns::Verdict::NxDomain) return LookupOutcome::NoSuchName;
+  return service.targets.empty() ? LookupOutcome::NoRecords : LookupOutcome::Found;
+}
+
+const char* nameOf(LookupOutcome outcome) {
+  switch (outcome) {
+    case LookupOutcome::Found:
+      return "found";
+    case LookupOutcome::NoAnswer:
+      return "no-answer";
+    case LookupOutcome::Partial:
+      return "partial";
+    case LookupOutcome::NoSuchName:
+      return "no-such-name";
+    case LookupOutcome::NoRecords:
+      return "no-records";
+  }
+  return "no-answer";
+}
+
 void asJson(const std::string& name, const dns::Service& service, const std::vector<Step>& steps,
             const dns::Settings& settings, Micros now) {
   rapidjson::OStreamWrapper stream(std::cout);
   Writer out(stream);
   out.StartObject();
   text(out, "name", name);
+  text(out, "outcome", nameOf(outcomeOf(service)));
   text(out, "answer", kindOf(service));
   text(out, "verdict", dns::nameOf(service.verdict));
   whole(out, "lifetime_ms", std::max<Micros>(0, service.until - now) / 1000);
@@ -92,7 +116,8 @@
 
 void asText(const std::string& name, const dns::Service& service, const std::vector<Step>& steps,
             const dns::Settings& settings, Micros now) {
-  std::cout << name << ": " << kindOf(service) << " (" << dns::nameOf(service.verdict) << "), lifetime "
+  std::cout << name << ": " << nameOf(outcomeOf(service)) << ", " << kindOf(service) << " ("
+            << dns::nameOf(service.verdict) << "), lifetime "
             << std::max<Micros>(0, service.until - now) / 1000 << " ms\n";
   for (const dns::Target& t : service.targets) {
     std::cout << "  priority " << t.priority << " weight " << t.weight << " " << t.name << ":" << t.port;
@@ -200,9 +225,7 @@
   });
   until(base.get(), 2 * asked.within, [&] { return done; });
   (asked.json ? asJson : asText)(dns::canonical(asked.name), service, steps, settings, unixNow());
-  return service.kind == dns::Service::Kind::Complete  ? 0
-         : service.kind == dns::Service::Kind::Partial ? 3
-                                                       : 1;
+  return static_cast<int>(outcomeOf(service));
 }
 
 int explain(const ExplainCommand& asked, const op::Operator& op, const discovery::Names& names,
--- a/tests/sources/whole_test.cpp
+++ b/tests/sources/whole_test.cpp
@@ -206,6 +206,30 @@
   EXPECT_EQ(wrong.wait(), 2) << wrong.output();
 }
 
+// Scripts tell by the exit code whether a service is there.
+TEST_F(Commands, LookupThatFindsNothingSaysWhyByItsExitCode) {
+  names.a("address-only.example.org", "10.1.0.9");
+  names.srv("_closed._tcp.example.org", "", 0);  // the root as the target: not offered
+  struct Case {
+    const char* name;
+    int exitCode;
+    const char* outcome;
+  };
+  for (const Case& c :
+       {Case{"absent.example.org", 4, "no-such-name"}, Case{"address-only.example.org", 5, "no-records"},
+        Case{"_closed._tcp.example.org", 5, "no-records"}}) {
+    for (const bool json : {false, true}) {
+      std::vector<std::string> words{PEARGRADE_PROGRAM,     "srv", "lookup", c.name, "--server",
+                                     names.address().text()};
+      if (json) words.push_back("--json");
+      Program lookup(words);
+      ASSERT_TRUE(loop.until([&] { return lookup.ended(); }));
+      EXPECT_EQ(lookup.wait(), c.exitCode) << lookup.output();
+      EXPECT_NE(lookup.output().find(c.outcome), std::string::npos) << lookup.output();
+    }
+  }
+}
+
 TEST_F(Commands, ExplainNamesForEachServerSourceAndRule) {
   start(true);
   record(6);
