--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -52,6 +52,7 @@
     return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
   }
   void signal(int number) { kill(pid_, number); }
+  pid_t pid() const { return pid_; }
   /// Stops it until SIGCONT. It has stopped when this returns.
   void stop() {
     kill(pid_, SIGSTOP);
