--- a/src/operator/schema.h
+++ b/src/operator/schema.h
@@ -26,19 +26,26 @@
 // Where a field stands in its block.
 enum class Form { Node, Argument, Property };  // `name value`, a value of the block, `name=value`
 
-// One declared setting.
+/// One declared setting.
 struct Field {
   std::string name;
   Kind kind = Kind::Text;
-  double least = 0, most = 0;  // in the unit that it is read in
-  std::string standard;        // where the file says nothing, as it would be written; "": none
+  /// Range of a number, in the unit that it is read in.
+  double least = 0;
+  double most = 0;
+  /// Default, as the file would have it; empty: none.
+  std::string standard;
   Form form = Form::Node;
-  bool needed = false, many = false;
+  /// Must be given.
+  bool needed = false;
+  /// May be given several times.
+  bool many = false;
   std::vector<std::string> words;
-  std::string says;  // for people, one line
+  /// One line for people.
+  std::string says;
 };
 
-// A declared block of settings.
+/// A declared block of settings.
 struct Block {
   std::string name;
   bool many = false;
@@ -47,16 +54,19 @@
   std::string says;
 };
 
-// A field as it was read.
+/// A field as it was read.
 struct Read {
   std::string text;
-  double number = 0;  // Duration, Size, Count, Share
+  /// Value of a Duration, Size, Count or Share.
+  double number = 0;
+  /// Value of a Flag.
   bool yes = false;
   kdl::Place place;
-  bool given = false;  // by the file; else it is the standard
+  /// Given by the file; otherwise it is the default.
+  bool given = false;
 };
 
-// A block as it was understood; what the file leaves out has its standard.
+/// A block as it was understood; what the file leaves out has its default.
 struct Section {
   bool given = false;
   kdl::Place place;
@@ -70,17 +80,19 @@
   const Section& block(const std::string& name) const { return blocks.at(name).at(0); }
 };
 
-// One mistake in the file.
+/// One mistake in the file.
 struct Complaint {
   kdl::Place place;
-  std::string where;  // "sources.dns.timeout"
-  std::string found, expected;
+  /// Path of the field, for example "sources.dns.timeout".
+  std::string where;
+  std::string found;
+  std::string expected;
 };
 
-// What a field takes, in words: "a duration with its unit, from 10ms to 10s".
+/// What a field takes, in words: "a duration with its unit, from 10ms to 10s".
 std::string takes(const Field& field);
 
-// Checks all of the document.
+/// Checks all of the document.
 Section check(const Block& schema, const kdl::Document& document, std::vector<Complaint>& complaints);
 
 // The schema as a table for people: every setting with what it takes and its standard.
