Store view test: own calls in a replay are checked by their numbers

Cause: with the calls numbered, the check that no unconfirmed call counts as executed had become one of call 0 alone, which can never be shown.

Change: the call whose route the replay shows counts as executed, the one that it does not show yet does not. This is as strict as the former check and says more.

--- a/tests/relay/store_view_test.cpp
+++ b/tests/relay/store_view_test.cpp
@@ -140,6 +140,8 @@
   read({"* owner 5 1", "* entry 5 s 1.0", "* entry 5 t 1.0", "* owner 6 1", "* entry 6 s 1.0", "*"});
   EXPECT_EQ(takeEventCount(), 0u);
   EXPECT_FALSE(view.showsCall(0)) << "there was no unconfirmed call";
+  EXPECT_TRUE(view.showsCall(1));
+  EXPECT_FALSE(view.showsCall(2)) << "the store does not show it yet";
 }
 
 TEST_F(StoreViewTest, RoutesOfUnassignedSlicesAreIgnored) {
