--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -56,12 +56,19 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def put(self, uid, az, state, boot_ms=0, address="127.0.0.1:9"):
+        self.put_all([(uid, az)], state, boot_ms, address)
+
+    def put_all(self, servers, state, boot_ms=0, address="127.0.0.1:9"):
+        """One version of the list, in which all these servers have changed."""
         self.rev += 1
-        entry = {"uid": uid, "endpoint": address, "az": az, "model": "m1", "pod_group": 0, "state": state,
-                 "capacity_hint": 1.0, "boot_ms": boot_ms}
-        self.entries[uid] = (self.rev, entry)
-        self.record(f"discovery: rev {self.rev} {uid} {state} boot_ms={boot_ms}")
-        line = json.dumps({"rev": self.rev, "all": False, "targets": [entry]})
+        changed = []
+        for uid, az in servers:
+            entry = {"uid": uid, "endpoint": address, "az": az, "model": "m1", "pod_group": 0, "state": state,
+                     "capacity_hint": 1.0, "boot_ms": boot_ms}
+            self.entries[uid] = (self.rev, entry)
+            changed.append(entry)
+            self.record(f"discovery: rev {self.rev} {uid} {state} boot_ms={boot_ms}")
+        line = json.dumps({"rev": self.rev, "all": False, "targets": changed})
         for writer in list(self.watchers):
             self.chunk(writer, line + "\n")
 
