--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -473,6 +473,8 @@
     record = Record(os.path.join(folder, "record.txt"))
     temporary = tempfile.mkdtemp(prefix="review-")
     code = 2
+    # The case ends its processes also when it is ended itself.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         seed = os.environ.get("SEED")
         random.seed(int(seed) if seed else None)
