Review: the scripts write record.txt by name and end with 2 whatever stops them

A supervisor ends with its script also when that is killed outright.

The rule's checks and bounds are unchanged.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,8 +12,8 @@
 sys.dont_write_bytecode = True
 
 from settings import SETTINGS, ZONES, configuration  # noqa: E402
-from standins import (HOST, Collectors, Discovery, Proxy, Relay, Supervisor, free_port, main,  # noqa: E402
-                      trouble)
+from standins import (HOST, CannotRun, Collectors, Discovery, Proxy, Relay, Supervisor,  # noqa: E402
+                      check_tasks, free_port, main, trouble)
 
 SERVERS = [f"s-{k:02d}" for k in range(15)]
 SLICES = 90
@@ -155,8 +155,11 @@
             tasks.append(asyncio.ensure_future(restart(servers)))
             await asyncio.sleep(STEP)
         await asyncio.sleep(ENDS - (loop.time() - began))
+        check_tasks(tasks)
         for task in tasks:
             task.cancel()
+        if not state["broken"]:
+            raise CannotRun("the supervisor did not shut out the servers of the first step")
         for proxy in proxies:
             if proxy.withdrawn:
                 record(f"at the end proxy {proxy.number} holds as withdrawn {sorted(proxy.withdrawn)}")
@@ -170,4 +173,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(case, HERE))
+    sys.exit(main(case, os.path.join(HERE, "record.txt")))  # record.txt: what was sent, answered and run
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,8 +10,8 @@
 sys.dont_write_bytecode = True
 
 from settings import ZONES, configuration  # noqa: E402
-from standins import (HOST, Collectors, Discovery, Proxy, Relay, Supervisor, free_port, main,  # noqa: E402
-                      trouble)
+from standins import (HOST, CannotRun, Collectors, Discovery, Proxy, Relay, Supervisor,  # noqa: E402
+                      check_tasks, free_port, main, trouble)
 
 SERVERS = [f"s-{k:02d}" for k in range(15)]
 SLICES = 90
@@ -137,12 +137,15 @@
         for server in SERVERS[:DRAINED]:
             discovery.put(server, ZONES[SERVERS.index(server) % 3], "DELETED")
         await asyncio.sleep(4)
+        check_tasks(tasks)
         for task in tasks:
             task.cancel()
         moved = sum(1 for t in range(0, SLICES) if t % len(SERVERS) < DRAINED
                     and not set(relay.store[t]) & set(SERVERS[:DRAINED]) and relay.store[t])
         record(f"{servers.writes} writes ran; {moved} of {SLICES * DRAINED // len(SERVERS)} slices have left the "
                "drained servers")
+        if moved == 0:
+            raise CannotRun("no slice has left the drained servers")
         if supervisor.process.poll() is not None:
             servers.broken.append("the supervisor has ended")
         return servers.broken
@@ -151,4 +154,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(case, HERE))
+    sys.exit(main(case, os.path.join(HERE, "record.txt")))  # record.txt: what was sent, answered and run
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -3,6 +3,7 @@
 loopback, all ports are free ones. Python's standard library only."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -347,6 +348,14 @@
     return struct.pack(">I", len(data)) + data
 
 
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent():
+    """In the new process: the kernel ends it (PR_SET_PDEATHSIG) when this script is killed outright."""
+    LIBC.prctl(1, signal.SIGKILL)
+
+
 class Supervisor:
     """One supervisor, started as `run` of the deploy file says."""
 
@@ -374,7 +383,8 @@
         environment.update(self.environment)
         self.log = open(self.log_path, "ab")
         self.process = subprocess.Popen(["/bin/sh", "-c", "exec build/peargrade serve"], cwd=ROOT,
-                                        env=environment, stdout=self.log, stderr=self.log)
+                                        env=environment, stdout=self.log, stderr=self.log,
+                                        preexec_fn=end_with_parent)
         self.record(f"supervisor: started, process {self.process.pid}")
 
     def signal(self, number):
@@ -466,16 +476,29 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(case, folder):
-    """Runs the coroutine `case(record, temporary folder)`; it returns the list of broken rules."""
+def check_tasks(tasks):
+    """A stand-in that has failed means that the case could not run."""
+    for task in tasks:
+        if task.done() and not task.cancelled() and task.exception():
+            raise CannotRun(f"a stand-in failed: {task.exception()!r}")
+
+
+def main(case, record_path):
+    """Runs the coroutine `case(record, temporary folder)`, which returns the list of broken rules. Returns the exit
+    code: 1 broken, 0 held, 2 could not run, also for an error in the case itself and when it is interrupted."""
     import shutil
     import tempfile
-    record = Record(os.path.join(folder, "record.txt"))
+
+    def interrupted(number, _):
+        raise SystemExit(2)  # leaves the event loop; the case ends its processes on the way out
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, interrupted)
     temporary = tempfile.mkdtemp(prefix="review-")
     code = 2
-    # The case ends its processes also when it is ended itself.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = None
     try:
+        record = Record(record_path)
         seed = os.environ.get("SEED")
         random.seed(int(seed) if seed else None)
         record(f"TROUBLE={1 if trouble() else 0}")
@@ -485,9 +508,13 @@
         record(f"result: {len(broken)} breaks of the rule" if broken else "result: the rule held")
         print(f"{len(broken)} breaks of the rule; the first: {broken[0]}" if broken else "the rule held")
         code = 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError) as error:
-        record(f"result: could not run: {error!r}")
-        print(f"could not run: {error!r}", file=sys.stderr)
+    except SystemExit:
+        print("interrupted", file=sys.stderr)
+    except BaseException as error:
+        text = f"could not run: {error!r}"
+        print(text, file=sys.stderr)
+        if record:
+            record("result: " + text)
     finally:
         shutil.rmtree(temporary, ignore_errors=True)
     return code
