Repeat readmissions to reconnected proxies that have not acknowledged them

A proxy whose stream broke around the readmission of a server kept the server ejected.

Cause: a proxy keeps the ejections that it has applied, and loses what is sent while its stream is broken. After a connection UpdateScheduler::beginDecision repeated only ejections in force; a readmission counted as held by everyone once published.

A readmission that a connecting proxy may have missed is published again, at most every 2 s. The same for a watch that was replaced: a proxy may have left and come back in between. The record of a departed server stays while a disconnected proxy may hold its ejection, and while a repetition is due.

PublishedEjection::publish and forgetDepartedServers have a new parameter, which the tests that call them pass; their checks are unchanged.

--- a/include/peargrade/events.h
+++ b/include/peargrade/events.h
@@ -158,8 +158,9 @@
   Micros delay = 0;
 };
 
-/// UpdateAcknowledged events may have been lost. Updates sent before this event count as in flight until a
-/// later update is acknowledged.
+/// UpdateAcknowledged, ProxyConnected and ProxyDisconnected events may have been lost. Updates sent before
+/// this event count as in flight until a later update is acknowledged, and as missed by every proxy that has
+/// not acknowledged them.
 struct AcknowledgementsMissed {};
 
 /// Replaces all settings, from the decisions of this batch on. The number and order of the classes, `slices`,
--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -66,7 +66,8 @@
 void DecisionEngine::Impl::decide() {
   endpoints_.refresh(startedAt_, actions_);
   updates_.beginDecision(servers_);
-  forgetDepartedServers(servers_, slices_, clock_.now() - kDepartedServerRetention);
+  forgetDepartedServers(servers_, slices_, clock_.now() - kDepartedServerRetention,
+                        updates_.appliedByDisconnected());
   estimate();
   outliers_.detect(servers_, pressure_.fleetCounts());
   evacuation_.evacuate(servers_, slices_);
--- a/src/decision/decision_engine_impl.h
+++ b/src/decision/decision_engine_impl.h
@@ -48,7 +48,7 @@
   void on(const SettingsChanged& event);
   void on(const EndpointListUpdate& event) { endpoints_.apply(event, servers_); }
   void on(const HealthCheckResult& event);
-  void on(const ProxyConnected& event) { updates_.connectProxy(event.proxy, slices_); }
+  void on(const ProxyConnected& event) { updates_.connectProxy(event, slices_); }
   void on(const ProxyDisconnected& event) { updates_.disconnectProxy(event.proxy, slices_); }
   void on(const ServerLoadReport& event) { pressure_.record(event, servers_); }
   void on(const SliceLoadReport& event) { load_.record(event, slices_); }
@@ -56,7 +56,7 @@
   void on(const StoredRoute& event);
   void on(const UpdateDelivery& event) { updates_.recordDelivery(event, servers_, slices_); }
   void on(const UpdateAcknowledged& event) { updates_.recordAcknowledgement(event, slices_); }
-  void on(const AcknowledgementsMissed&) { budget_.recordMissedAcknowledgements(); }
+  void on(const AcknowledgementsMissed&) { updates_.recordMissedAcknowledgements(); }
   // The engine does not use gossip or the load of single proxies. A fired timer carries no data: `handle`
   // checks for it and makes a decision.
   void on(const GossipReceived&) {}
--- a/src/decision/route_usage.cpp
+++ b/src/decision/route_usage.cpp
@@ -21,14 +21,17 @@
   return usage;
 }
 
-void forgetDepartedServers(ServerMap& servers, const SliceMap& slices, Micros departedBefore) {
+void forgetDepartedServers(ServerMap& servers, const SliceMap& slices, Micros departedBefore,
+                           std::optional<UpdateNumber> appliedByDisconnected) {
   const RouteUsage usage = routeUsage(slices, [](const ServerId&) { return true; });
   for (auto it = servers.begin(); it != servers.end();) {
     const auto& [id, server] = *it;
     const bool isUsed = usage.published.count(id) + usage.desired.count(id) > 0;
-    const bool hasDeparted = !server.isReady() && !server.ejection.isEjected() && server.departedAt > 0 &&
-                             server.departedAt < departedBefore;
-    it = hasDeparted && !isUsed ? servers.erase(it) : std::next(it);
+    const bool hasDeparted = !server.isReady() && server.departedAt > 0 && server.departedAt < departedBefore;
+    const bool mayBeEjected =
+        server.ejection.mayBeInForce() ||
+        (appliedByDisconnected && server.ejection.lastUpdate() > *appliedByDisconnected);
+    it = hasDeparted && !isUsed && !mayBeEjected ? servers.erase(it) : std::next(it);
   }
 }
 
--- a/src/decision/route_usage.h
+++ b/src/decision/route_usage.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 
 #include "decision/server_state.h"
 #include "decision/slice_state.h"
+#include "decision/update_number.h"
 
 namespace peargrade::decision {
 
@@ -25,8 +27,10 @@
 [[nodiscard]] RouteUsage routeUsage(const SliceMap& slices,
                                     const std::function<bool(const ServerId&)>& isRoutable);
 
-/// Erases the state of servers that departed before `departedBefore`, are not ejected and are in no table.
-/// Bounds memory: server ids change with every replacement of a server.
-void forgetDepartedServers(ServerMap& servers, const SliceMap& slices, Micros departedBefore);
+/// Erases the state of servers that departed before `departedBefore`, are in no table, and that no proxy may
+/// treat as ejected. Disconnected proxies have applied the updates up to `appliedByDisconnected`; nullopt:
+/// there is no such proxy. Bounds memory: server ids change with every replacement of a server.
+void forgetDepartedServers(ServerMap& servers, const SliceMap& slices, Micros departedBefore,
+                           std::optional<UpdateNumber> appliedByDisconnected);
 
 }  // namespace peargrade::decision
--- a/src/decision/server_state.h
+++ b/src/decision/server_state.h
@@ -7,6 +7,7 @@
 
 #include "decision/clock.h"
 #include "decision/sliding_minimum.h"
+#include "decision/update_number.h"
 #include "decision/zone_statistics.h"
 #include "peargrade/actions.h"
 #include "peargrade/events.h"
@@ -18,7 +19,7 @@
 constexpr Micros kDepartureMemory = 30 * kSecond;
 
 /// The last published ejection or readmission of a server, and whether its delivery to all proxies is
-/// certain.
+/// certain. Proxies that are disconnected when it is published, or before they have applied it, miss it.
 class PublishedEjection {
  public:
   [[nodiscard]] bool isEjected() const {
@@ -30,8 +31,11 @@
   }
   /// Whether some proxies may currently treat the server as ejected.
   [[nodiscard]] bool mayBeInForce() const { return state_ != State::Readmitted; }
-  void publish(EjectionState state) {
+  /// The update that published it last; 0: it was never published.
+  [[nodiscard]] UpdateNumber lastUpdate() const { return lastUpdate_; }
+  void publish(EjectionState state, UpdateNumber update) {
     state_ = state == EjectionState::Ejected ? State::Ejected : State::Readmitted;
+    lastUpdate_ = update;
   }
   /// Records that some proxies may not have received it.
   void markUnconfirmed() { state_ = isEjected() ? State::EjectedUnconfirmed : State::ReadmittedUnconfirmed; }
@@ -39,6 +43,7 @@
  private:
   enum class State { Readmitted, ReadmittedUnconfirmed, Ejected, EjectedUnconfirmed };
   State state_ = State::Readmitted;
+  UpdateNumber lastUpdate_ = 0;
 };
 
 /// Whether a server is an outlier. An outlier gets no slices for an ejection time, which doubles with each
--- a/src/decision/update_channel.h
+++ b/src/decision/update_channel.h
@@ -41,6 +41,10 @@
   [[nodiscard]] std::size_t trackedUpdates() const { return updates_.size(); }
   [[nodiscard]] int lastUpdateId() const { return lastUpdateId_; }
   [[nodiscard]] int nextUpdateId() const { return (lastUpdateId_ + 1) % kUpdateIds; }
+  /// Number of updates that were sent after the one with this id.
+  [[nodiscard]] int updatesSince(int updateId) const {
+    return (lastUpdateId_ - updateId + kUpdateIds) % kUpdateIds;
+  }
   /// Records an update: one message of `routes` routes to each of `receivers` proxies. `slowestRate`: routes
   /// per second that the channel transmits at least. Returns the update's id.
   int send(Micros now, double routes, double receivers, double slowestRate);
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "decision/update_scheduler.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -15,6 +16,9 @@
 /// Largest share of an update that admission ratios may use. They change often under overload, and would
 /// otherwise leave no capacity for migrations.
 constexpr double kMaxRatioShare = 0.5;
+/// Shortest interval between two repetitions of missed readmissions. After a failure, proxies reconnect over
+/// several seconds, and a repetition for each of them would use up the channel.
+constexpr Micros kReadmissionRepeatInterval = 2 * kSecond;
 
 }  // namespace
 
@@ -27,24 +31,28 @@
       channel_(channel),
       actions_(actions),
       routes_(sources.ejections),
-      handover_(settings, clock) {
+      handover_(settings, clock),
+      applied_(clock) {
   publishedAdmission_.ratios.assign(settings.classes.size(), 1);
 }
 
-void UpdateScheduler::connectProxy(ProxyId proxy, SliceMap& slices) {
-  channel_.connect(proxy, clock_.now() - kConnectionEventLag);
+void UpdateScheduler::connectProxy(const ProxyConnected& event, SliceMap& slices) {
+  channel_.connect(event.proxy, clock_.now() - kConnectionEventLag);
+  applied_.connect(event.proxy, event.newIncarnation);
   publishedAdmission_.isCurrent = false;
   hasNewProxies_ = true;
-  handover_.recordConnectionChange(slices, proxy);
+  handover_.recordConnectionChange(slices, event.proxy);
 }
 
 void UpdateScheduler::disconnectProxy(ProxyId proxy, SliceMap& slices) {
   channel_.disconnect(proxy, clock_.now() - kConnectionEventLag);
+  applied_.disconnect(proxy);
   handover_.recordConnectionChange(slices, proxy);
 }
 
 void UpdateScheduler::recordAcknowledgement(const UpdateAcknowledged& event, SliceMap& slices) {
   if (!channel_.acknowledge(event.proxy, event.updateId)) return;
+  applied_.acknowledge(event.proxy, static_cast<UpdateNumber>(channel_.updatesSince(event.updateId)));
   handover_.recordAcknowledgement(slices, event.proxy, event.updateId);
 }
 
@@ -58,6 +66,13 @@
   if (wasAcknowledgementRequestOnly) budget_.recordMissedAcknowledgements();
 }
 
+// The fleet's admission ratios need no repetition: they are part of each message.
+void UpdateScheduler::recordMissedAcknowledgements() {
+  budget_.recordMissedAcknowledgements();
+  applied_.recordUnobservedReconnects();
+  hasNewProxies_ = true;
+}
+
 // The state of a slice that was assigned after the update was sent comes from the store, so the update does
 // not make it uncertain.
 void UpdateScheduler::markUncertain(const Action& action, ServerMap& servers, SliceMap& slices) {
@@ -77,15 +92,35 @@
 }
 
 void UpdateScheduler::beginDecision(ServerMap& servers) {
-  if (hasNewProxies_) {
-    for (auto& [id, server] : servers) {
-      if (server.ejection.isEjected()) server.ejection.markUnconfirmed();
-    }
-  }
+  if (hasNewProxies_) markMissedEjections(servers);
   hasNewProxies_ = false;
+  markMissedReadmissions(servers);
+  applied_.forgetExpired();
   delivery_.beginDecision();
 }
 
+void UpdateScheduler::markMissedEjections(ServerMap& servers) {
+  for (auto& [id, server] : servers) {
+    if (server.ejection.isEjected()) server.ejection.markUnconfirmed();
+  }
+}
+
+void UpdateScheduler::markMissedReadmissions(ServerMap& servers) {
+  if (clock_.now() < nextReadmissionRepeatAt_) return;
+  const std::optional<UpdateRange> missed = applied_.takeMissed();
+  if (!missed) return;
+  int readmissions = 0;
+  for (auto& [id, server] : servers) {
+    if (server.ejection.isEjected() || !missed->contains(server.ejection.lastUpdate())) continue;
+    server.ejection.markUnconfirmed();
+    ++readmissions;
+  }
+  if (readmissions == 0) return;
+  nextReadmissionRepeatAt_ = clock_.now() + kReadmissionRepeatInterval;
+  actions_.log("repeating " + std::to_string(readmissions) +
+               " readmissions that reconnected proxies may have missed");
+}
+
 void UpdateScheduler::sendUpdate(ServerMap& servers, SliceMap& slices) {
   delivery_.holdDecision();
   if (channel_.proxyCount() == 0 || delivery_.isAwaitingOutcome()) return;
@@ -99,6 +134,7 @@
   dropSuperseded(update);
   const double routes = budget_.messageOverhead() + static_cast<double>(update.size());
   const int updateId = budget_.send(routes);
+  applied_.recordSent();
   update.emplace_back(
       AcknowledgementRequest{updateId, isAcknowledgementRequestOnly || settings_.hasSingleOwnerSlices()});
   for (const Action& action : update) actions_.add(action);
@@ -205,7 +241,7 @@
 
 void UpdateScheduler::publish(const Action& action, ServerMap& servers, SliceMap& slices) {
   if (const auto* ejection = std::get_if<SetEjection>(&action))
-    servers.at(ejection->server).ejection.publish(ejection->state);
+    servers.at(ejection->server).ejection.publish(ejection->state, applied_.nextUpdate());
   if (const auto* route = std::get_if<SetRoute>(&action)) publish(*route, slices.at(route->table));
   if (const auto* admission = std::get_if<SetAdmission>(&action)) publish(*admission, slices);
 }
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -1,11 +1,13 @@
 // Schedules the updates of the proxies: chooses what is sent now and in which order, and tracks its delivery.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "decision/action_queue.h"
 #include "decision/admission_controller.h"
 #include "decision/admission_ratios.h"
+#include "decision/applied_updates.h"
 #include "decision/delivery_tracker.h"
 #include "decision/ejection_planner.h"
 #include "decision/load_estimator.h"
@@ -40,10 +42,13 @@
                   UpdateChannel& channel, ActionQueue& actions);
 
   // ---- Events ----
-  void connectProxy(ProxyId proxy, SliceMap& slices);
+  void connectProxy(const ProxyConnected& event, SliceMap& slices);
   void disconnectProxy(ProxyId proxy, SliceMap& slices);
   void recordAcknowledgement(const UpdateAcknowledged& event, SliceMap& slices);
   void recordDelivery(const UpdateDelivery& event, ServerMap& servers, SliceMap& slices);
+  /// Records that the watch was interrupted: acknowledgements were missed, and a connected proxy may have
+  /// disconnected and connected again without an event.
+  void recordMissedAcknowledgements();
   void changeSettings(const Settings& oldSettings, const Settings& newSettings);
 
   // ---- Steps of a decision ----
@@ -51,6 +56,11 @@
   [[nodiscard]] bool isDecisionDue() const { return delivery_.isDecisionDue(); }
   /// First step of a decision, before ejections are planned.
   void beginDecision(ServerMap& servers);
+  /// The last update that every proxy has applied that is disconnected and may connect again; nullopt: there
+  /// is no such proxy.
+  [[nodiscard]] std::optional<UpdateNumber> appliedByDisconnected() const {
+    return applied_.appliedByDisconnected();
+  }
   /// Last step of a decision.
   void sendUpdate(ServerMap& servers, SliceMap& slices);
   /// Published admission ratios that apply to all slices, by class.
@@ -64,6 +74,9 @@
     std::vector<double> ratios;
   };
 
+  /// Marks the ejections and readmissions as unconfirmed that connected proxies may have missed.
+  void markMissedEjections(ServerMap& servers);
+  void markMissedReadmissions(ServerMap& servers);
   [[nodiscard]] std::vector<PendingUpdate> pendingUpdates(const ServerMap& servers,
                                                           const SliceMap& slices) const;
   void planRatios(TableId table, const SliceState& slice, const ServerMap& servers,
@@ -97,8 +110,12 @@
   RoutePlanner routes_;
   SliceHandover handover_;
   DeliveryTracker delivery_;
+  AppliedUpdates applied_;
   PublishedAdmission publishedAdmission_;
-  bool hasNewProxies_ = false;  // a proxy connected since the last decision
+  /// Whether a proxy connected, or may have connected, since the last decision.
+  bool hasNewProxies_ = false;
+  /// Readmissions that proxies missed are not repeated before this time.
+  Micros nextReadmissionRepeatAt_ = 0;
 };
 
 }  // namespace peargrade::decision
--- a/tests/decision/behaviour_test.cpp
+++ b/tests/decision/behaviour_test.cpp
@@ -27,7 +27,7 @@
       {"HealthChecks", {0x7be30b1e5a1ef314ULL, 0xfdb581d0492d71a0ULL}},
       {"LittleTraffic", {0xa0ff49f999a16aa2ULL, 0xaaa51836a92ef6d0ULL}},
       {"ErraticReports", {0x270b929ee6c043a6ULL, 0xfcbf91d36454b045ULL}},
-      {"ProxyTables", {0xf370bb6df3ad9ee8ULL, 0x5f2752ad14844ad2ULL}},
+      {"ProxyTables", {0xf370bb6df3ad9ee8ULL, 0xdfa39984dbfd6e46ULL}},
   };
   return hashes;
 }
--- a/tests/decision/load_estimator_test.cpp
+++ b/tests/decision/load_estimator_test.cpp
@@ -139,7 +139,7 @@
 
 TEST_F(EjectionPlannerTest, ServerIsReadmittedOnceNoTableHoldsAStaleRouteToIt) {
   servers_["a"].endpoint.state = EndpointState::Ready;
-  servers_["a"].ejection.publish(EjectionState::Ejected);
+  servers_["a"].ejection.publish(EjectionState::Ejected, 1);
   slices_.at(1).desired = {{"b", 1}};
   EXPECT_TRUE(planAfter(0).empty());
   slices_.at(1).publish(SetRoute{1, "a", 0});
@@ -150,7 +150,7 @@
 
 TEST_F(EjectionPlannerTest, ReadyServerIsReadmittedDespiteStaleRoutesIfNoServerIsUsable) {
   servers_["a"].endpoint.state = EndpointState::Ready;
-  for (const ServerId id : {"a", "b"}) servers_[id].ejection.publish(EjectionState::Ejected);
+  for (const ServerId id : {"a", "b"}) servers_[id].ejection.publish(EjectionState::Ejected, 1);
   slices_.at(1).desired = {{"b", 1}};
   slices_.at(1).primary = "b";
   slices_.at(1).published.insert_or_assign("b", PublishedRoute::delivered(1));
@@ -163,7 +163,7 @@
 
 TEST_F(EjectionPlannerTest, UnconfirmedEjectionIsPublishedAgain) {
   slices_.at(1).published.insert_or_assign("b", PublishedRoute::delivered(0.001));
-  servers_["a"].ejection.publish(EjectionState::Ejected);
+  servers_["a"].ejection.publish(EjectionState::Ejected, 1);
   EXPECT_TRUE(planAfter(0).empty());
   servers_["a"].ejection.markUnconfirmed();
   EXPECT_EQ(planAfter(0).size(), 1u);
--- /dev/null
+++ b/tests/decision/proxy_reconnect_test.cpp
@@ -0,0 +1,155 @@
+// Proxies that disconnect and connect again hold the ejections that the engine believes to be in force.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "support/simulated_supervisor.h"
+
+namespace peargrade {
+namespace {
+
+/// When the engine learns that a stream broke.
+enum class BreakReport {
+  AtOnce,
+  AtReconnect,       // the break is reported together with the new connection
+  MissedByTheWatch,  // the watch was silent from before the break until after the new connection
+};
+
+struct ReconnectCase {
+  std::string name;
+  BreakReport report;
+  /// Time between the removal of the server from the list and the new connection.
+  Micros disconnectedFor;
+};
+
+/// Three proxies, each with the ejections that it has applied. A proxy keeps them over a broken stream.
+class ProxyReconnect : public testing::TestWithParam<ReconnectCase> {
+ protected:
+  static constexpr Micros kStep = 250 * kMillisecond;
+  static constexpr ProxyId kProxies = 3;
+  static constexpr ProxyId kReconnecting = 2;
+
+  void start() {
+    supervisor.acknowledgesUpdates = false;  // this fixture sends the acknowledgements
+    for (ProxyId proxy = 0; proxy < kProxies; ++proxy) connected.insert(proxy);
+    handle(supervisor.startEvents(8));
+    run(4 * kSecond);
+  }
+  void handle(const std::vector<Event>& events) { deliver(supervisor.handle(events)); }
+  void step() {
+    supervisor.now += kStep;
+    std::vector<Event> events{TimerFired{"sweep"}};
+    events.insert(events.end(), acknowledgements_.begin(), acknowledgements_.end());
+    acknowledgements_.clear();
+    supervisor.appendLoadReports(events);
+    handle(events);
+  }
+  void run(Micros duration) {
+    for (const Micros end = supervisor.now + duration; supervisor.now < end;) step();
+  }
+  /// Runs until the engine has published `state` for `server`.
+  void runUntil(const ServerId& server, EjectionState state) {
+    const Micros end = supervisor.now + 10 * kSecond;
+    while (supervisor.now < end && (published.count(server) == 0 || published[server] != state)) step();
+    ASSERT_EQ(published.count(server), 1U) << server;
+    ASSERT_EQ(published[server], state) << server;
+  }
+  void drain(const ServerId& server) { deliver(supervisor.updateEndpoint(server, EndpointState::Draining)); }
+  void restart(const ServerId& server) {
+    deliver(supervisor.updateEndpoint(server, EndpointState::Ready, supervisor.now));
+  }
+  static Endpoint removed(const ServerId& server) {
+    Endpoint endpoint;
+    endpoint.server = server;
+    endpoint.state = EndpointState::Removed;
+    return endpoint;
+  }
+  /// From now on updates are lost for the proxy.
+  void breakStream() {
+    connected.erase(kReconnecting);
+    if (GetParam().report == BreakReport::AtOnce) handle({ProxyDisconnected{kReconnecting}});
+  }
+  void connect() {
+    connected.insert(kReconnecting);
+    if (GetParam().report == BreakReport::MissedByTheWatch) return handle({AcknowledgementsMissed{}});
+    if (GetParam().report == BreakReport::AtReconnect) handle({ProxyDisconnected{kReconnecting}});
+    handle({ProxyConnected{kReconnecting, 0, 5, false}});
+  }
+
+  SimulatedSupervisor supervisor{testSettings()};
+  std::set<ProxyId> connected;
+  std::map<ProxyId, std::set<ServerId>> ejectedAt;
+  std::map<ServerId, EjectionState> published;
+  int readmissionCount = 0;
+
+ private:
+  void deliver(const std::vector<Action>& actions) {
+    for (const Action& action : actions) {
+      if (const auto* ejection = std::get_if<SetEjection>(&action)) deliver(*ejection);
+      if (const auto* request = std::get_if<AcknowledgementRequest>(&action)) acknowledge(*request);
+    }
+  }
+  void deliver(const SetEjection& ejection) {
+    published[ejection.server] = ejection.state;
+    readmissionCount += ejection.state == EjectionState::Readmitted ? 1 : 0;
+    for (const ProxyId proxy : connected) {
+      if (ejection.state == EjectionState::Ejected)
+        ejectedAt[proxy].insert(ejection.server);
+      else
+        ejectedAt[proxy].erase(ejection.server);
+    }
+  }
+  void acknowledge(const AcknowledgementRequest& request) {
+    for (const ProxyId proxy : connected)
+      acknowledgements_.push_back(UpdateAcknowledged{proxy, request.updateId, kMillisecond});
+  }
+
+  std::vector<Event> acknowledgements_;
+};
+
+// Guards against: a proxy whose stream broke before the readmission of a server ignores that server for good.
+TEST_P(ProxyReconnect, ReadmissionReachesAProxyThatMissedIt) {
+  start();
+  drain("s_b");
+  runUntil("s_b", EjectionState::Ejected);
+  breakStream();
+  runUntil("s_b", EjectionState::Readmitted);
+  ASSERT_EQ(ejectedAt[kReconnecting], std::set<ServerId>{"s_b"});
+  handle({EndpointListUpdate{EndpointListKind::Delta, 0, {removed("s_b")}}});
+  run(GetParam().disconnectedFor);
+  connect();
+  run(2 * kSecond);
+  restart("s_b");
+  run(2 * kSecond);
+  for (ProxyId proxy = 0; proxy < kProxies; ++proxy)
+    EXPECT_EQ(ejectedAt[proxy], std::set<ServerId>()) << "proxy " << proxy;
+}
+
+// Guards against: repeated readmissions that no connected proxy has missed use up the channel.
+TEST_P(ProxyReconnect, ReadmissionIsNotRepeatedForAProxyThatHasAppliedIt) {
+  start();
+  drain("s_b");
+  runUntil("s_b", EjectionState::Readmitted);
+  run(kSecond);
+  const int readmissions = readmissionCount;
+  breakStream();
+  run(GetParam().disconnectedFor);
+  connect();
+  run(4 * kSecond);
+  EXPECT_EQ(readmissionCount, readmissions);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    StreamBreaks, ProxyReconnect,
+    testing::Values(ReconnectCase{"ReportedAtOnce", BreakReport::AtOnce, 3 * kSecond},
+                    ReconnectCase{"ReportedAfterTheReadmission", BreakReport::AtReconnect, 3 * kSecond},
+                    ReconnectCase{"NeverReported", BreakReport::MissedByTheWatch, 3 * kSecond},
+                    ReconnectCase{"LongerThanDepartedServersAreKept", BreakReport::AtOnce, 90 * kSecond}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace peargrade
--- a/tests/decision/route_usage_test.cpp
+++ b/tests/decision/route_usage_test.cpp
@@ -15,7 +15,7 @@
     servers[id].isListed = std::string(id) == "ready";
     servers[id].departedAt = std::string(id) == "ready" ? 0 : std::string(id) == "late" ? 90 : 10;
   }
-  servers["ejected"].ejection.publish(EjectionState::Ejected);
+  servers["ejected"].ejection.publish(EjectionState::Ejected, 1);
   SliceMap slices;
   SliceState slice(0, 1);
   slice.primary = "ready";
@@ -23,12 +23,29 @@
   slice.published.insert_or_assign("published", PublishedRoute::delivered(1));
   slice.desired = {{"desired", 1}};
   slices.emplace(1, slice);
-  forgetDepartedServers(servers, slices, 50);
+  forgetDepartedServers(servers, slices, 50, 1);
   std::set<ServerId> kept;
   for (const auto& [id, server] : servers) kept.insert(id);
   EXPECT_EQ(kept, (std::set<ServerId>{"desired", "ejected", "late", "published", "ready"}));
 }
 
+// Guards against: a proxy that is disconnected over the departure of a server ignores its successor of the
+// same id.
+TEST(RouteUsageTest, DepartedServerIsKeptWhileADisconnectedProxyMayTreatItAsEjected) {
+  ServerMap servers;
+  for (const char* id : {"applied", "missed", "unconfirmed"}) servers[id].departedAt = 10;
+  servers["applied"].ejection.publish(EjectionState::Readmitted, 4);
+  servers["missed"].ejection.publish(EjectionState::Readmitted, 5);
+  servers["unconfirmed"].ejection.publish(EjectionState::Readmitted, 4);
+  servers["unconfirmed"].ejection.markUnconfirmed();
+  forgetDepartedServers(servers, {}, 50, 4);
+  EXPECT_EQ(servers.count("applied"), 0U);
+  EXPECT_EQ(servers.count("missed"), 1U);
+  EXPECT_EQ(servers.count("unconfirmed"), 1U);
+  forgetDepartedServers(servers, {}, 50, std::nullopt);
+  EXPECT_EQ(servers.count("missed"), 0U);
+}
+
 TEST(RouteUsageTest, RouteOfUnknownDeliveryMakesNoTableRoutable) {
   SliceMap slices;
   SliceState slice(0, 1);
--- a/tests/decision/state_test.cpp
+++ b/tests/decision/state_test.cpp
@@ -13,15 +13,15 @@
 TEST(PublishedEjectionTest, UnconfirmedReadmissionMayLeaveTheEjectionInForce) {
   PublishedEjection ejection;
   EXPECT_FALSE(ejection.mayBeInForce());
-  ejection.publish(EjectionState::Ejected);
+  ejection.publish(EjectionState::Ejected, 1);
   EXPECT_TRUE(ejection.isEjected());
   EXPECT_FALSE(ejection.needsRepeat());
-  ejection.publish(EjectionState::Readmitted);
+  ejection.publish(EjectionState::Readmitted, 1);
   ejection.markUnconfirmed();
   EXPECT_FALSE(ejection.isEjected());
   EXPECT_TRUE(ejection.needsRepeat());
   EXPECT_TRUE(ejection.mayBeInForce());
-  ejection.publish(EjectionState::Readmitted);
+  ejection.publish(EjectionState::Readmitted, 1);
   EXPECT_FALSE(ejection.mayBeInForce());
 }
 
@@ -42,7 +42,7 @@
 TEST(ServerStateTest, RestartKeepsOnlyEjectionConfirmationAndFirstSighting) {
   ServerState server = usableServer();
   server.firstSeenAt = 5;
-  server.ejection.publish(EjectionState::Ejected);
+  server.ejection.publish(EjectionState::Ejected, 1);
   server.admission.heatLimit = 3;
   server.outlier.eject(0, 8);
   server.restart(100);
