Handover waits for the leases of proxies that disconnected before the removal

Cause: a handover waited for the proxies that were connected at the removal, and for the lease of those that disconnect after it. A proxy that had disconnected before was in neither set, and nothing remembered its lease.

Every write that breaks the rule is of a proxy without a stream.

Change: SliceHandover keeps, by disconnected proxy, when its writes have ended (lease and longest write after the report), and a handover waits for all of them. An entry ends with the lease, or when the proxy connects again: then it has to acknowledge. A log line says how many slices wait for how many leases. This works because the report never precedes the break.

recordConnectionChange is split by direction; its test calls recordDisconnection, the checks are unchanged.

--- a/src/decision/slice_handover.cpp
+++ b/src/decision/slice_handover.cpp
@@ -1,6 +1,7 @@
 #include "decision/slice_handover.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace peargrade::decision {
@@ -15,9 +16,12 @@
   return canSetNewOwner ? slice.changedRoutes(table) : std::vector<Action>{};
 }
 
-void SliceHandover::beginHandover(SliceState& slice, std::set<ProxyId> proxies, int updateId) {
-  slice.handover.unacknowledgedBy = std::move(proxies);
-  slice.handover.removalUpdateId = updateId;
+void SliceHandover::beginHandover(SliceState& slice, std::set<ProxyId> proxies, int updateId) const {
+  Handover& handover = slice.handover;
+  handover.unacknowledgedBy = std::move(proxies);
+  handover.removalUpdateId = updateId;
+  for (const auto& [proxy, writesEndAt] : writesEndAt_)
+    handover.earliestAt = std::max(handover.earliestAt, writesEndAt);
 }
 
 void SliceHandover::recordAcknowledgement(SliceMap& slices, ProxyId proxy, int updateId) const {
@@ -30,14 +34,37 @@
   }
 }
 
-void SliceHandover::recordConnectionChange(SliceMap& slices, ProxyId proxy) const {
+void SliceHandover::recordDisconnection(SliceMap& slices, ProxyId proxy) {
+  if (!settings_.hasSingleOwnerSlices()) return;
+  for (auto it = writesEndAt_.begin(); it != writesEndAt_.end();)
+    it = it->second <= clock_.now() ? writesEndAt_.erase(it) : std::next(it);
+  writesEndAt_[proxy] = leasedWritesEndAt();
+  delayHandoversAwaiting(slices, proxy);
+}
+
+// The proxy will not acknowledge updates that were sent before.
+void SliceHandover::recordConnection(SliceMap& slices, ProxyId proxy) {
   if (!settings_.hasSingleOwnerSlices()) return;
-  const Micros writesEndAt = clock_.now() + settings_.lease + settings_.inFlightWriteMax;
+  writesEndAt_.erase(proxy);
+  delayHandoversAwaiting(slices, proxy);
+}
+
+void SliceHandover::delayHandoversAwaiting(SliceMap& slices, ProxyId proxy) const {
   for (auto& [table, slice] : slices) {
     Handover& handover = slice.handover;
     if (handover.unacknowledgedBy.erase(proxy) == 0) continue;
-    handover.earliestAt = std::max(handover.earliestAt, writesEndAt);
+    handover.earliestAt = std::max(handover.earliestAt, leasedWritesEndAt());
   }
 }
 
+std::size_t SliceHandover::leaseCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(writesEndAt_.begin(), writesEndAt_.end(),
+                    [this](const auto& entry) { return entry.second > clock_.now(); }));
+}
+
+Micros SliceHandover::leasedWritesEndAt() const {
+  return clock_.now() + settings_.lease + settings_.inFlightWriteMax;
+}
+
 }  // namespace peargrade::decision
--- a/src/decision/slice_handover.h
+++ b/src/decision/slice_handover.h
@@ -1,6 +1,8 @@
 // Handover of single-owner slices from one server to another.
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -13,7 +15,9 @@
 
 /// Ensures that no two servers receive writes for a single-owner slice at the same time. The route to the old
 /// owner is removed first. The route to the new owner is set once every proxy has either acknowledged the
-/// removal or lost its lease, and writes accepted before that have ended. Does nothing for shared slices.
+/// removal or lost its lease, and writes accepted before that have ended. A proxy that is disconnected holds
+/// its lease for Settings::lease, whether it disconnected before the removal or after it. Does nothing for
+/// shared slices.
 class SliceHandover {
  public:
   SliceHandover(const Settings& settings, const Clock& clock) : settings_(settings), clock_(clock) {}
@@ -23,15 +27,27 @@
   [[nodiscard]] std::vector<Action> nextRoutes(TableId table, const SliceState& slice) const;
   /// Records that update `updateId`, which is sent to `proxies`, removes the old owner's route. Only for
   /// single-owner slices.
-  static void beginHandover(SliceState& slice, std::set<ProxyId> proxies, int updateId);
+  void beginHandover(SliceState& slice, std::set<ProxyId> proxies, int updateId) const;
   void recordAcknowledgement(SliceMap& slices, ProxyId proxy, int updateId) const;
-  /// Records that a proxy connected or disconnected. It will not acknowledge updates sent before, so the
-  /// handover waits until its lease has expired instead.
-  void recordConnectionChange(SliceMap& slices, ProxyId proxy) const;
+  /// Records that a proxy disconnected. It acknowledges no more updates, so handovers wait until its lease
+  /// has expired instead.
+  void recordDisconnection(SliceMap& slices, ProxyId proxy);
+  /// Records that a proxy connected. It holds no lease beyond its stream any more.
+  void recordConnection(SliceMap& slices, ProxyId proxy);
+  /// Number of disconnected proxies that may still write.
+  [[nodiscard]] std::size_t leaseCount() const;
 
  private:
+  /// Handovers that await an acknowledgement of the proxy wait until its lease has expired instead.
+  void delayHandoversAwaiting(SliceMap& slices, ProxyId proxy) const;
+  /// When the writes have ended of a proxy that loses its lease in Settings::lease from now.
+  [[nodiscard]] Micros leasedWritesEndAt() const;
+
   const Settings& settings_;
   const Clock& clock_;
+  /// By disconnected proxy: when its writes have ended. Expired entries are erased with the next
+  /// disconnection.
+  std::map<ProxyId, Micros> writesEndAt_;
 };
 
 }  // namespace peargrade::decision
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -41,13 +41,13 @@
   applied_.connect(event.proxy, event.newIncarnation);
   publishedAdmission_.isCurrent = false;
   hasNewProxies_ = true;
-  handover_.recordConnectionChange(slices, event.proxy);
+  handover_.recordConnection(slices, event.proxy);
 }
 
 void UpdateScheduler::disconnectProxy(ProxyId proxy, SliceMap& slices) {
   channel_.disconnect(proxy, clock_.now() - kConnectionEventLag);
   applied_.disconnect(proxy);
-  handover_.recordConnectionChange(slices, proxy);
+  handover_.recordDisconnection(slices, proxy);
 }
 
 void UpdateScheduler::recordAcknowledgement(const UpdateAcknowledged& event, SliceMap& slices) {
@@ -132,6 +132,7 @@
   const bool isAcknowledgementRequestOnly = update.empty();
   if (isAcknowledgementRequestOnly && !canRequestAcknowledgements()) return;
   dropSuperseded(update);
+  logHandoverDelay(update);
   const double routes = budget_.messageOverhead() + static_cast<double>(update.size());
   const int updateId = budget_.send(routes);
   applied_.recordSent();
@@ -146,6 +147,18 @@
   delivery_.sendTracked(std::move(update));
 }
 
+void UpdateScheduler::logHandoverDelay(const std::vector<Action>& update) const {
+  if (!settings_.hasSingleOwnerSlices()) return;
+  const auto removals = std::count_if(update.begin(), update.end(), [](const Action& action) {
+    const auto* route = std::get_if<SetRoute>(&action);
+    return route != nullptr && route->weight <= 0;
+  });
+  const std::size_t leases = handover_.leaseCount();
+  if (removals == 0 || leases == 0) return;
+  actions_.log("new owners of " + std::to_string(removals) + " slices wait for the leases of " +
+               std::to_string(leases) + " disconnected proxies");
+}
+
 std::vector<PendingUpdate> UpdateScheduler::pendingUpdates(const ServerMap& servers,
                                                            const SliceMap& slices) const {
   std::vector<PendingUpdate> updates;
@@ -249,7 +262,7 @@
 void UpdateScheduler::publish(const SetRoute& route, SliceState& slice) {
   slice.publish(route);
   const bool isOwnerRemoval = settings_.hasSingleOwnerSlices() && route.weight <= 0;
-  if (isOwnerRemoval) SliceHandover::beginHandover(slice, channel_.proxies(), channel_.nextUpdateId());
+  if (isOwnerRemoval) handover_.beginHandover(slice, channel_.proxies(), channel_.nextUpdateId());
 }
 
 void UpdateScheduler::publish(const SetAdmission& admission, SliceMap& slices) {
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -89,6 +89,8 @@
   [[nodiscard]] bool canRequestAcknowledgements() const;
   [[nodiscard]] std::vector<Action> fillUpdate(const std::vector<PendingUpdate>& updates, ServerMap& servers,
                                                SliceMap& slices);
+  /// Logs how many slices get no new owner yet because of disconnected proxies.
+  void logHandoverDelay(const std::vector<Action>& update) const;
   /// Appends all of `newActions` to `update` and records them as published. If there is no capacity for them,
   /// does nothing and returns false.
   bool append(UpdatePriority priority, const std::vector<Action>& newActions, std::vector<Action>& update,
--- a/tests/decision/slice_ownership_test.cpp
+++ b/tests/decision/slice_ownership_test.cpp
@@ -1,6 +1,11 @@
 // Slices that are assigned to the supervisor or taken from it, and handovers of single-owner slices.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
 #include "support/simulated_supervisor.h"
 
 namespace peargrade {
@@ -74,5 +79,107 @@
   EXPECT_NE(supervisor.primaryServer(1), "s_b");
 }
 
+// Three proxies that write to the owner in their table. A proxy without a stream does so until its lease
+// expires.
+class SingleOwnerWrites : public testing::Test {
+ protected:
+  static constexpr Micros kStep = 50 * kMillisecond;
+  static constexpr ProxyId kProxies = 3;
+  static constexpr Micros kLease = 2500 * kMillisecond;
+  static constexpr Micros kMessageDelay = 400 * kMillisecond;
+  static constexpr TableId kSlice = 1;
+
+  struct Proxy {
+    bool isConnected = true;
+    Micros disconnectedAt = 0;
+    ServerId owner = "s_b";
+    /// Changes of the owner that are on their way, by the time at which they are applied. Empty id: none.
+    std::map<Micros, ServerId> owners;
+    std::map<Micros, int> acknowledgements;
+  };
+
+  static Settings settings() {
+    Settings settings = singleOwnerSettings();
+    settings.inFlightWriteMax = 20 * kMillisecond;
+    settings.lease = kLease;
+    settings.pushDelayMax = kMessageDelay;
+    return settings;
+  }
+
+  void start() {
+    supervisor.acknowledgesUpdates = false;  // this fixture sends the acknowledgements
+    supervisor.reportsLoad = false;
+    deliver(supervisor.handle(supervisor.startEvents(8)));
+  }
+  /// Advances the time and checks after each step that all writes of the slice go to one server.
+  void run(Micros duration) {
+    for (const Micros end = supervisor.now + duration; supervisor.now < end && !HasFatalFailure();) {
+      supervisor.now += kStep;
+      std::vector<Event> events{TimerFired{"sweep"}};
+      for (auto& [id, proxy] : proxies) applyArrived(id, proxy, events);
+      deliver(supervisor.handle(events));
+      checkWriters();
+    }
+  }
+  void breakStream(ProxyId id) {
+    Proxy& proxy = proxies[id];
+    proxy.isConnected = false;
+    proxy.disconnectedAt = supervisor.now;
+    proxy.owners.clear();
+    proxy.acknowledgements.clear();
+  }
+  void deliver(const std::vector<Action>& actions) {
+    const Micros arrival = supervisor.now + kMessageDelay;
+    for (const Action& action : actions) {
+      const auto* route = std::get_if<SetRoute>(&action);
+      const auto* request = std::get_if<AcknowledgementRequest>(&action);
+      for (auto& [id, proxy] : proxies) {
+        if (!proxy.isConnected) continue;
+        if (route != nullptr && route->table == kSlice)
+          proxy.owners[arrival] = route->weight > 0 ? route->server : ServerId();
+        if (request != nullptr) proxy.acknowledgements[arrival] = request->updateId;
+      }
+    }
+  }
+  ServerId storedOwner() const { return supervisor.primaryServer(kSlice); }
+
+  SimulatedSupervisor supervisor{settings()};
+  std::map<ProxyId, Proxy> proxies{{0, {}}, {1, {}}, {2, {}}};
+
+ private:
+  void applyArrived(ProxyId id, Proxy& proxy, std::vector<Event>& events) const {
+    const Micros now = supervisor.now;
+    while (!proxy.owners.empty() && proxy.owners.begin()->first <= now) {
+      proxy.owner = proxy.owners.begin()->second;
+      proxy.owners.erase(proxy.owners.begin());
+    }
+    while (!proxy.acknowledgements.empty() && proxy.acknowledgements.begin()->first <= now) {
+      events.push_back(UpdateAcknowledged{id, proxy.acknowledgements.begin()->second, kMessageDelay});
+      proxy.acknowledgements.erase(proxy.acknowledgements.begin());
+    }
+  }
+  void checkWriters() {
+    std::set<ServerId> writtenTo;
+    for (const auto& [id, proxy] : proxies) {
+      const bool hasLease = supervisor.now < proxy.disconnectedAt + kLease;
+      if (!proxy.owner.empty() && (proxy.isConnected || hasLease)) writtenTo.insert(proxy.owner);
+    }
+    ASSERT_LE(writtenTo.size(), 1U) << supervisor.now << " us: " << testing::PrintToString(writtenTo);
+  }
+};
+
+// Guards against: a new owner is set while proxies that disconnected before the removal write to the old one.
+TEST_F(SingleOwnerWrites, GoToOneServerIfProxiesDisconnectBeforeADrain) {
+  start();
+  run(8 * kSecond);
+  breakStream(2);
+  run(300 * kMillisecond);
+  deliver(supervisor.handle({ProxyDisconnected{2}}));
+  deliver(supervisor.updateEndpoint("s_b", EndpointState::Draining));
+  run(4 * kSecond);
+  EXPECT_FALSE(storedOwner().empty());
+  EXPECT_NE(storedOwner(), "s_b");
+}
+
 }  // namespace
 }  // namespace peargrade
--- a/tests/decision/update_budget_test.cpp
+++ b/tests/decision/update_budget_test.cpp
@@ -87,7 +87,7 @@
   /// Publishes the removal of the old owner in update 5, to the proxies 1 and 2.
   void removeOldOwner() {
     slice().publish(SetRoute{1, "a", 0});
-    SliceHandover::beginHandover(slice(), {1, 2}, 5);
+    handover_.beginHandover(slice(), {1, 2}, 5);
   }
   void advance(Micros span) { clock_.advanceTo(clock_.now() + span); }
   std::size_t nextRoutes() { return handover_.nextRoutes(1, slice()).size(); }
@@ -122,13 +122,40 @@
 TEST_F(SliceHandoverTest, DisconnectedProxyDelaysTheNewOwnerUntilItsLeaseExpires) {
   removeOldOwner();
   handover_.recordAcknowledgement(slices_, 1, 5);
-  handover_.recordConnectionChange(slices_, 2);
+  handover_.recordDisconnection(slices_, 2);
   advance(4 * kSecond - 1);
   EXPECT_EQ(nextRoutes(), 0u);
   advance(1);
   EXPECT_EQ(nextRoutes(), 1u);
 }
 
+// Guards against: a new owner is set while a proxy that disconnected before the removal writes to the old
+// one.
+TEST_F(SliceHandoverTest, ProxyThatDisconnectedBeforeTheRemovalDelaysTheNewOwner) {
+  handover_.recordDisconnection(slices_, 3);
+  advance(kSecond);
+  removeOldOwner();
+  EXPECT_EQ(handover_.leaseCount(), 1u);
+  handover_.recordAcknowledgement(slices_, 1, 5);
+  handover_.recordAcknowledgement(slices_, 2, 5);
+  advance(3 * kSecond - 1);
+  EXPECT_EQ(nextRoutes(), 0u);
+  advance(1);
+  EXPECT_EQ(handover_.leaseCount(), 0u);
+  EXPECT_EQ(nextRoutes(), 1u);
+}
+
+TEST_F(SliceHandoverTest, ProxyThatIsConnectedAgainAtTheRemovalHoldsNoLease) {
+  handover_.recordDisconnection(slices_, 2);
+  handover_.recordConnection(slices_, 2);
+  removeOldOwner();
+  EXPECT_EQ(handover_.leaseCount(), 0u);
+  handover_.recordAcknowledgement(slices_, 1, 5);
+  handover_.recordAcknowledgement(slices_, 2, 5);
+  advance(kSecond);
+  EXPECT_EQ(nextRoutes(), 1u);
+}
+
 TEST_F(SliceHandoverTest, SharedSlicesNeedNoHandover) {
   settings_.sliceOwnership = SliceOwnership::Shared;
   EXPECT_EQ(nextRoutes(), 0u);
