An assigned single-owner slice gets no new owner before unknown leases have ended

Callers saw: writes of one slice at two servers where a supervisor restarts between a break of streams and a drain, or where a slice is assigned again in the middle of a handover.

A new SliceState began with no wait, but the engine knows neither proxies that are not connected to it nor a removal that its predecessor or another supervisor sent.

Evidence (debug log of such a run): start 43.604 s, detach of six proxies that the new process never knew 43.871 to 43.967 s, removals 44.103 s, new owners 44.612 s, attach of the six from 45.793 s on; their leases ran until 46.0 s.

Change: after an assignment no new owner is set before lease and longest write have passed: every unknown lease began before. A removal is not delayed, and a slice keeps the owner that it has.

--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -107,7 +107,9 @@
 void DecisionEngine::Impl::on(const SliceAssignment& event) {
   slices_.erase(event.slice);
   if (!event.assigned) return;
-  slices_.emplace(event.slice, decision::SliceState(clock_.now(), settings_.classes.size()));
+  decision::SliceState slice(clock_.now(), settings_.classes.size());
+  updates_.recordAssignment(slice);
+  slices_.emplace(event.slice, std::move(slice));
 }
 
 // The server with the largest weight becomes the primary server. Of servers with equal weights, a ready one
--- a/src/decision/slice_handover.cpp
+++ b/src/decision/slice_handover.cpp
@@ -24,6 +24,10 @@
     handover.earliestAt = std::max(handover.earliestAt, writesEndAt);
 }
 
+void SliceHandover::recordAssignment(SliceState& slice) const {
+  if (settings_.hasSingleOwnerSlices()) slice.handover.earliestAt = leasedWritesEndAt();
+}
+
 void SliceHandover::recordAcknowledgement(SliceMap& slices, ProxyId proxy, int updateId) const {
   if (!settings_.hasSingleOwnerSlices()) return;
   const Micros writesEndAt = clock_.now() + settings_.inFlightWriteMax;
--- a/src/decision/slice_handover.h
+++ b/src/decision/slice_handover.h
@@ -16,8 +16,9 @@
 /// Ensures that no two servers receive writes for a single-owner slice at the same time. The route to the old
 /// owner is removed first. The route to the new owner is set once every proxy has either acknowledged the
 /// removal or lost its lease, and writes accepted before that have ended. A proxy that is disconnected holds
-/// its lease for Settings::lease, whether it disconnected before the removal or after it. Does nothing for
-/// shared slices.
+/// its lease for Settings::lease, whether it disconnected before the removal or after it. So does any proxy
+/// of the supervisor that had the slice before, or of this one before its start. Does nothing for shared
+/// slices.
 class SliceHandover {
  public:
   SliceHandover(const Settings& settings, const Clock& clock) : settings_(settings), clock_(clock) {}
@@ -28,6 +29,9 @@
   /// Records that update `updateId`, which is sent to `proxies`, removes the old owner's route. Only for
   /// single-owner slices.
   void beginHandover(SliceState& slice, std::set<ProxyId> proxies, int updateId) const;
+  /// Records that the slice was assigned to this supervisor. Proxies may still write to an owner that the
+  /// slice had before, under leases that this supervisor does not know.
+  void recordAssignment(SliceState& slice) const;
   void recordAcknowledgement(SliceMap& slices, ProxyId proxy, int updateId) const;
   /// Records that a proxy disconnected. It acknowledges no more updates, so handovers wait until its lease
   /// has expired instead.
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -44,6 +44,7 @@
   // ---- Events ----
   void connectProxy(const ProxyConnected& event, SliceMap& slices);
   void disconnectProxy(ProxyId proxy, SliceMap& slices);
+  void recordAssignment(SliceState& slice) const { handover_.recordAssignment(slice); }
   void recordAcknowledgement(const UpdateAcknowledged& event, SliceMap& slices);
   void recordDelivery(const UpdateDelivery& event, ServerMap& servers, SliceMap& slices);
   /// Records that the watch was interrupted: acknowledgements were missed, and a connected proxy may have
--- a/tests/decision/slice_ownership_test.cpp
+++ b/tests/decision/slice_ownership_test.cpp
@@ -128,6 +128,21 @@
     proxy.owners.clear();
     proxy.acknowledgements.clear();
   }
+  /// Replaces the engine by a new one, which is told of the list, the connected proxies and the stored
+  /// routes.
+  void restart() {
+    supervisor.engine = DecisionEngine(2, supervisor.settings);
+    std::vector<Event> events{supervisor.endpointList(EndpointListKind::Cached),
+                              supervisor.endpointList(EndpointListKind::Full)};
+    for (const auto& [id, proxy] : proxies) {
+      if (proxy.isConnected) events.push_back(ProxyConnected{id, 0, 5, false});
+    }
+    for (const auto& [slice, table] : supervisor.routes) {
+      events.push_back(SliceAssignment{slice, true});
+      for (const auto& [server, weight] : table) events.push_back(StoredRoute{slice, server, weight});
+    }
+    deliver(supervisor.handle(events));
+  }
   void deliver(const std::vector<Action>& actions) {
     const Micros arrival = supervisor.now + kMessageDelay;
     for (const Action& action : actions) {
@@ -181,5 +196,32 @@
   EXPECT_NE(storedOwner(), "s_b");
 }
 
+// Guards against: a restarted supervisor knows no leases of the proxies that its predecessor saw disconnect.
+TEST_F(SingleOwnerWrites, GoToOneServerIfTheSupervisorRestartsBetweenADisconnectionAndADrain) {
+  start();
+  run(8 * kSecond);
+  breakStream(2);
+  deliver(supervisor.handle({ProxyDisconnected{2}}));
+  run(300 * kMillisecond);
+  restart();
+  deliver(supervisor.updateEndpoint("s_b", EndpointState::Draining));
+  run(4 * kSecond);
+  EXPECT_FALSE(storedOwner().empty());
+  EXPECT_NE(storedOwner(), "s_b");
+}
+
+// Guards against: a slice that changes hands gets an owner while proxies write to the one that it had before.
+TEST_F(SingleOwnerWrites, GoToOneServerIfTheSliceIsAssignedAgainDuringAHandover) {
+  start();
+  run(8 * kSecond);
+  breakStream(2);
+  deliver(supervisor.updateEndpoint("s_b", EndpointState::Draining));
+  run(100 * kMillisecond);
+  ASSERT_TRUE(storedOwner().empty()) << "the old owner is removed";
+  deliver(supervisor.handle({SliceAssignment{kSlice, false}, SliceAssignment{kSlice, true}}));
+  run(4 * kSecond);
+  EXPECT_FALSE(storedOwner().empty());
+}
+
 }  // namespace
 }  // namespace peargrade
--- a/tests/decision/update_budget_test.cpp
+++ b/tests/decision/update_budget_test.cpp
@@ -156,6 +156,18 @@
   EXPECT_EQ(nextRoutes(), 1u);
 }
 
+// Guards against: the proxies of the supervisor that had the slice before still write to its owner.
+TEST_F(SliceHandoverTest, AssignedSliceGetsANewOwnerOnlyOnceLeasesOfTheFormerSupervisorHaveExpired) {
+  handover_.recordAssignment(slice());
+  removeOldOwner();
+  handover_.recordAcknowledgement(slices_, 1, 5);
+  handover_.recordAcknowledgement(slices_, 2, 5);
+  advance(4 * kSecond - 1);
+  EXPECT_EQ(nextRoutes(), 0u);
+  advance(1);
+  EXPECT_EQ(nextRoutes(), 1u);
+}
+
 TEST_F(SliceHandoverTest, SharedSlicesNeedNoHandover) {
   settings_.sliceOwnership = SliceOwnership::Shared;
   EXPECT_EQ(nextRoutes(), 0u);
