A proxy that connected just before the removal of an owner has to acknowledge it

Callers would see: writes of a single-owner slice at two servers, where a proxy joins just before the removal and its attach is read after it.

Cause: a handover asked only the proxies that the engine knew at the removal. A proxy that had joined, unknown to it, writes to the old owner until the removal reaches it, which may be later than the last acknowledgement of the others.

Change: a connection read within 1 s after a removal (kConnectionEventLag) adds the proxy to those that have to acknowledge, and an acknowledgement is asked for if nothing else is due. Later connections read a table without the old owner.

Test: SingleOwnerWrites.GoToOneServerIfAProxyConnectsUnnoticedBeforeADrain failed on (writes to s_b and s_d in one instant) and passes now.

--- a/src/decision/slice_handover.cpp
+++ b/src/decision/slice_handover.cpp
@@ -20,6 +20,7 @@
   Handover& handover = slice.handover;
   handover.unacknowledgedBy = std::move(proxies);
   handover.removalUpdateId = updateId;
+  handover.removedAt = clock_.now();
   for (const auto& [proxy, writesEndAt] : writesEndAt_)
     handover.earliestAt = std::max(handover.earliestAt, writesEndAt);
 }
@@ -43,22 +44,27 @@
   for (auto it = writesEndAt_.begin(); it != writesEndAt_.end();)
     it = it->second <= clock_.now() ? writesEndAt_.erase(it) : std::next(it);
   writesEndAt_[proxy] = leasedWritesEndAt();
-  delayHandoversAwaiting(slices, proxy);
+  for (auto& [table, slice] : slices) {
+    Handover& handover = slice.handover;
+    if (handover.unacknowledgedBy.erase(proxy) == 0) continue;
+    handover.earliestAt = std::max(handover.earliestAt, leasedWritesEndAt());
+  }
 }
 
-// The proxy will not acknowledge updates that were sent before.
-void SliceHandover::recordConnection(SliceMap& slices, ProxyId proxy) {
-  if (!settings_.hasSingleOwnerSlices()) return;
+// A proxy that connected after the removal reads a table without the old owner. One that connected before it,
+// unknown to the engine, was sent the removal and may not have applied it yet.
+bool SliceHandover::recordConnection(SliceMap& slices, ProxyId proxy, Micros eventLag) {
+  if (!settings_.hasSingleOwnerSlices()) return false;
   writesEndAt_.erase(proxy);
-  delayHandoversAwaiting(slices, proxy);
-}
-
-void SliceHandover::delayHandoversAwaiting(SliceMap& slices, ProxyId proxy) const {
+  bool isAcknowledgementRequired = false;
   for (auto& [table, slice] : slices) {
     Handover& handover = slice.handover;
-    if (handover.unacknowledgedBy.erase(proxy) == 0) continue;
-    handover.earliestAt = std::max(handover.earliestAt, leasedWritesEndAt());
+    const bool isPending = handover.removalUpdateId >= 0 && slice.published.empty();
+    if (!isPending || clock_.now() - handover.removedAt > eventLag) continue;
+    handover.unacknowledgedBy.insert(proxy);
+    isAcknowledgementRequired = true;
   }
+  return isAcknowledgementRequired;
 }
 
 std::size_t SliceHandover::leaseCount() const {
--- a/src/decision/slice_handover.h
+++ b/src/decision/slice_handover.h
@@ -36,14 +36,14 @@
   /// Records that a proxy disconnected. It acknowledges no more updates, so handovers wait until its lease
   /// has expired instead.
   void recordDisconnection(SliceMap& slices, ProxyId proxy);
-  /// Records that a proxy connected. It holds no lease beyond its stream any more.
-  void recordConnection(SliceMap& slices, ProxyId proxy);
+  /// Records that a proxy connected, up to `eventLag` ago. Handovers whose removal may have been sent after
+  /// that wait for its acknowledgement. Returns whether there are any: an update sent from now on has to be
+  /// acknowledged.
+  [[nodiscard]] bool recordConnection(SliceMap& slices, ProxyId proxy, Micros eventLag);
   /// Number of disconnected proxies that may still write.
   [[nodiscard]] std::size_t leaseCount() const;
 
  private:
-  /// Handovers that await an acknowledgement of the proxy wait until its lease has expired instead.
-  void delayHandoversAwaiting(SliceMap& slices, ProxyId proxy) const;
   /// When the writes have ended of a proxy that loses its lease in Settings::lease from now.
   [[nodiscard]] Micros leasedWritesEndAt() const;
 
--- a/src/decision/slice_state.h
+++ b/src/decision/slice_state.h
@@ -36,6 +36,8 @@
   std::set<ProxyId> unacknowledgedBy;
   /// Id of the update that removed the old owner's route; -1: none.
   int removalUpdateId = -1;
+  /// When that update was sent.
+  Micros removedAt = 0;
   /// The new owner's route must not be set before this time.
   Micros earliestAt = 0;
 };
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -41,7 +41,8 @@
   applied_.connect(event.proxy, event.newIncarnation);
   publishedAdmission_.isCurrent = false;
   hasNewProxies_ = true;
-  handover_.recordConnection(slices, event.proxy);
+  if (handover_.recordConnection(slices, event.proxy, kConnectionEventLag))
+    budget_.recordMissedAcknowledgements();
 }
 
 void UpdateScheduler::disconnectProxy(ProxyId proxy, SliceMap& slices) {
--- a/tests/decision/slice_ownership_test.cpp
+++ b/tests/decision/slice_ownership_test.cpp
@@ -86,7 +86,8 @@
   static constexpr Micros kStep = 50 * kMillisecond;
   static constexpr ProxyId kProxies = 3;
   static constexpr Micros kLease = 2500 * kMillisecond;
-  static constexpr Micros kMessageDelay = 400 * kMillisecond;
+  static constexpr Micros kMessageDelay = 100 * kMillisecond;
+  static constexpr Micros kSlowMessageDelay = 800 * kMillisecond;
   static constexpr TableId kSlice = 1;
 
   struct Proxy {
@@ -102,7 +103,7 @@
     Settings settings = singleOwnerSettings();
     settings.inFlightWriteMax = 20 * kMillisecond;
     settings.lease = kLease;
-    settings.pushDelayMax = kMessageDelay;
+    settings.pushDelayMax = kSlowMessageDelay;
     return settings;
   }
 
@@ -128,6 +129,11 @@
     proxy.owners.clear();
     proxy.acknowledgements.clear();
   }
+  /// The proxy reads the store. The engine is not told yet.
+  void connect(ProxyId id) {
+    proxies[id].isConnected = true;
+    proxies[id].owner = storedOwner();
+  }
   /// Replaces the engine by a new one, which is told of the list, the connected proxies and the stored
   /// routes.
   void restart() {
@@ -144,12 +150,12 @@
     deliver(supervisor.handle(events));
   }
   void deliver(const std::vector<Action>& actions) {
-    const Micros arrival = supervisor.now + kMessageDelay;
     for (const Action& action : actions) {
       const auto* route = std::get_if<SetRoute>(&action);
       const auto* request = std::get_if<AcknowledgementRequest>(&action);
       for (auto& [id, proxy] : proxies) {
         if (!proxy.isConnected) continue;
+        const Micros arrival = supervisor.now + messageDelays.at(id);
         if (route != nullptr && route->table == kSlice)
           proxy.owners[arrival] = route->weight > 0 ? route->server : ServerId();
         if (request != nullptr) proxy.acknowledgements[arrival] = request->updateId;
@@ -160,6 +166,7 @@
 
   SimulatedSupervisor supervisor{settings()};
   std::map<ProxyId, Proxy> proxies{{0, {}}, {1, {}}, {2, {}}};
+  std::map<ProxyId, Micros> messageDelays{{0, kMessageDelay}, {1, kMessageDelay}, {2, kMessageDelay}};
 
  private:
   void applyArrived(ProxyId id, Proxy& proxy, std::vector<Event>& events) const {
@@ -223,5 +230,23 @@
   EXPECT_FALSE(storedOwner().empty());
 }
 
+// Guards against: a proxy that connected unnoticed just before the removal writes to the old owner until the
+// removal reaches it, later than the others acknowledge it.
+TEST_F(SingleOwnerWrites, GoToOneServerIfAProxyConnectsUnnoticedBeforeADrain) {
+  start();
+  run(8 * kSecond);
+  breakStream(2);
+  deliver(supervisor.handle({ProxyDisconnected{2}}));
+  run(kLease);
+  connect(2);
+  messageDelays[2] = kSlowMessageDelay;
+  deliver(supervisor.updateEndpoint("s_b", EndpointState::Draining));
+  run(100 * kMillisecond);
+  deliver(supervisor.handle({ProxyConnected{2, 0, 5, false}}));
+  run(5 * kSecond);
+  EXPECT_FALSE(storedOwner().empty());
+  EXPECT_NE(storedOwner(), "s_b");
+}
+
 }  // namespace
 }  // namespace peargrade
--- a/tests/decision/update_budget_test.cpp
+++ b/tests/decision/update_budget_test.cpp
@@ -147,7 +147,7 @@
 
 TEST_F(SliceHandoverTest, ProxyThatIsConnectedAgainAtTheRemovalHoldsNoLease) {
   handover_.recordDisconnection(slices_, 2);
-  handover_.recordConnection(slices_, 2);
+  EXPECT_FALSE(handover_.recordConnection(slices_, 2, kSecond)) << "no handover";
   removeOldOwner();
   EXPECT_EQ(handover_.leaseCount(), 0u);
   handover_.recordAcknowledgement(slices_, 1, 5);
@@ -156,6 +156,22 @@
   EXPECT_EQ(nextRoutes(), 1u);
 }
 
+// Guards against: a proxy that connected unnoticed just before the removal writes to the old owner until the
+// removal reaches it.
+TEST_F(SliceHandoverTest, ProxyThatMayHaveConnectedBeforeTheRemovalHasToAcknowledge) {
+  removeOldOwner();
+  handover_.recordAcknowledgement(slices_, 1, 5);
+  handover_.recordAcknowledgement(slices_, 2, 5);
+  advance(kSecond);
+  EXPECT_TRUE(handover_.recordConnection(slices_, 3, kSecond));
+  EXPECT_EQ(nextRoutes(), 0u);
+  advance(1);
+  EXPECT_FALSE(handover_.recordConnection(slices_, 4, kSecond)) << "it reads a table without the old owner";
+  handover_.recordAcknowledgement(slices_, 3, 6);
+  advance(kSecond);
+  EXPECT_EQ(nextRoutes(), 1u);
+}
+
 // Guards against: the proxies of the supervisor that had the slice before still write to its owner.
 TEST_F(SliceHandoverTest, AssignedSliceGetsANewOwnerOnlyOnceLeasesOfTheFormerSupervisorHaveExpired) {
   handover_.recordAssignment(slice());
