Readmit restarted servers that a predecessor of the supervisor may have ejected

Callers saw: all requests of some slices refused at all proxies, for good, where a supervisor ended after it had ejected draining servers and was back only after these had started again.

Cause: the engine starts without ejections, proxies keep theirs.

Change: once a proxy has connected that has no record and is no new incarnation, ready servers that this engine never ejected or readmitted, and that started less than 40 s before that or later, are readmitted once. Others are not touched.

Test: ProxyReconnectAtRestart.ServerThatThePredecessorEjectedIsReadmitted failed without it (s_b ejected at three proxies).

--- a/src/decision/applied_updates.cpp
+++ b/src/decision/applied_updates.cpp
@@ -7,12 +7,15 @@
 namespace peargrade::decision {
 
 void AppliedUpdates::connect(ProxyId proxy, bool isNewIncarnation) {
+  const auto record = disconnected_.find(proxy);
+  const bool isKnown = record != disconnected_.end() || connected_.count(proxy) > 0;
   UpdateNumber& applied = connected_[proxy];
-  if (const auto record = disconnected_.find(proxy); record != disconnected_.end()) {
+  if (record != disconnected_.end()) {
     applied = record->second.applied;
     disconnected_.erase(record);
   }
   if (isNewIncarnation) applied = lastSent_;
+  if (!isKnown && !isNewIncarnation && !unknownStateSince_) unknownStateSince_ = clock_.now();
   recordMissed(applied);
 }
 
--- a/src/decision/applied_updates.h
+++ b/src/decision/applied_updates.h
@@ -49,6 +49,9 @@
   /// Erases the records of proxies that disconnected kDisconnectedProxyRetention ago or earlier.
   void forgetExpired();
 
+  /// When a proxy first connected that may hold the effects of updates of another engine: of a predecessor of
+  /// this one, or of this one if the record of the proxy has expired; nullopt: none.
+  [[nodiscard]] std::optional<Micros> unknownStateSince() const { return unknownStateSince_; }
   /// Returns the updates that a proxy may have missed that connected since the last call; nullopt: none.
   std::optional<UpdateRange> takeMissed();
   /// The last update that every disconnected proxy with a record has applied; nullopt: there is none.
@@ -71,6 +74,7 @@
   std::map<ProxyId, Disconnected> disconnected_;
   UpdateNumber lastSent_ = 0;
   std::optional<UpdateRange> missed_;
+  std::optional<Micros> unknownStateSince_;
 };
 
 }  // namespace peargrade::decision
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -19,6 +19,9 @@
 /// Shortest interval between two repetitions of missed readmissions. After a failure, proxies reconnect over
 /// several seconds, and a repetition for each of them would use up the channel.
 constexpr Micros kReadmissionRepeatInterval = 2 * kSecond;
+/// An ejection by an earlier engine may be in force for a server that started this long before the first
+/// proxy with unknown state connected, or later. Covers the time in which a supervisor restarts.
+constexpr Micros kUnknownEjectionAge = 40 * kSecond;
 
 }  // namespace
 
@@ -96,6 +99,7 @@
   if (hasNewProxies_) markMissedEjections(servers);
   hasNewProxies_ = false;
   markMissedReadmissions(servers);
+  markUnknownEjections(servers);
   applied_.forgetExpired();
   delivery_.beginDecision();
 }
@@ -122,6 +126,18 @@
                " readmissions that reconnected proxies may have missed");
 }
 
+// If an engine ends after it has ejected a server that drains, proxies ignore the next process of that server
+// until it is readmitted. Servers that this engine has ejected or readmitted itself need nothing.
+void UpdateScheduler::markUnknownEjections(ServerMap& servers) const {
+  const std::optional<Micros> unknownSince = applied_.unknownStateSince();
+  if (!unknownSince) return;
+  for (auto& [id, server] : servers) {
+    const bool isUnpublished = server.ejection.lastUpdate() == 0 && !server.ejection.needsRepeat();
+    const bool mayBeEjected = server.endpoint.startedAt > *unknownSince - kUnknownEjectionAge;
+    if (isUnpublished && mayBeEjected && server.isReady()) server.ejection.markUnconfirmed();
+  }
+}
+
 void UpdateScheduler::sendUpdate(ServerMap& servers, SliceMap& slices) {
   delivery_.holdDecision();
   if (channel_.proxyCount() == 0 || delivery_.isAwaitingOutcome()) return;
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -78,6 +78,8 @@
   /// Marks the ejections and readmissions as unconfirmed that connected proxies may have missed.
   void markMissedEjections(ServerMap& servers);
   void markMissedReadmissions(ServerMap& servers);
+  /// Marks the readmission of servers as unconfirmed that an engine before this one may have ejected.
+  void markUnknownEjections(ServerMap& servers) const;
   [[nodiscard]] std::vector<PendingUpdate> pendingUpdates(const ServerMap& servers,
                                                           const SliceMap& slices) const;
   void planRatios(TableId table, const SliceState& slice, const ServerMap& servers,
--- a/tests/decision/proxy_reconnect_test.cpp
+++ b/tests/decision/proxy_reconnect_test.cpp
@@ -27,7 +27,7 @@
 };
 
 /// Three proxies, each with the ejections that it has applied. A proxy keeps them over a broken stream.
-class ProxyReconnect : public testing::TestWithParam<ReconnectCase> {
+class ProxyReconnectFixture {
  protected:
   static constexpr Micros kStep = 250 * kMillisecond;
   static constexpr ProxyId kProxies = 3;
@@ -68,16 +68,22 @@
     endpoint.state = EndpointState::Removed;
     return endpoint;
   }
-  /// From now on updates are lost for the proxy.
-  void breakStream() {
-    connected.erase(kReconnecting);
-    if (GetParam().report == BreakReport::AtOnce) handle({ProxyDisconnected{kReconnecting}});
-  }
-  void connect() {
-    connected.insert(kReconnecting);
-    if (GetParam().report == BreakReport::MissedByTheWatch) return handle({AcknowledgementsMissed{}});
-    if (GetParam().report == BreakReport::AtReconnect) handle({ProxyDisconnected{kReconnecting}});
-    handle({ProxyConnected{kReconnecting, 0, 5, false}});
+  /// Replaces the engine by a new one. The proxies keep the ejections that they have applied.
+  void restartSupervisor() {
+    acknowledgements_.clear();
+    supervisor.engine = DecisionEngine(2, supervisor.settings);
+    std::vector<Event> events{supervisor.endpointList(EndpointListKind::Cached),
+                              supervisor.endpointList(EndpointListKind::Full)};
+    for (const ProxyId proxy : connected) events.push_back(ProxyConnected{proxy, 0, 5, false});
+    for (const TableId slice : std::set<TableId>(supervisor.assignedSlices)) {
+      events.push_back(SliceAssignment{slice, true});
+      for (const auto* tables : {&supervisor.routes, &supervisor.routesToEjectedServers}) {
+        if (tables->count(slice) == 0) continue;
+        for (const auto& [server, weight] : tables->at(slice))
+          events.push_back(StoredRoute{slice, server, weight});
+      }
+    }
+    handle(events);
   }
 
   SimulatedSupervisor supervisor{testSettings()};
@@ -111,6 +117,23 @@
   std::vector<Event> acknowledgements_;
 };
 
+class ProxyReconnectAtRestart : public testing::Test, protected ProxyReconnectFixture {};
+
+class ProxyReconnect : public testing::TestWithParam<ReconnectCase>, protected ProxyReconnectFixture {
+ protected:
+  /// From now on updates are lost for the proxy.
+  void breakStream() {
+    connected.erase(kReconnecting);
+    if (GetParam().report == BreakReport::AtOnce) handle({ProxyDisconnected{kReconnecting}});
+  }
+  void connect() {
+    connected.insert(kReconnecting);
+    if (GetParam().report == BreakReport::MissedByTheWatch) return handle({AcknowledgementsMissed{}});
+    if (GetParam().report == BreakReport::AtReconnect) handle({ProxyDisconnected{kReconnecting}});
+    handle({ProxyConnected{kReconnecting, 0, 5, false}});
+  }
+};
+
 // Guards against: a proxy whose stream broke before the readmission of a server ignores that server for good.
 TEST_P(ProxyReconnect, ReadmissionReachesAProxyThatMissedIt) {
   start();
@@ -143,6 +166,28 @@
   EXPECT_EQ(readmissionCount, readmissions);
 }
 
+// Guards against: proxies ignore a server for good that was ejected before the supervisor restarted, and that
+// started again before the new supervisor process did.
+TEST_F(ProxyReconnectAtRestart, ServerThatThePredecessorEjectedIsReadmitted) {
+  start();
+  drain("s_b");
+  runUntil("s_b", EjectionState::Ejected);
+  supervisor.endpoints["s_b"].state = EndpointState::Ready;
+  supervisor.endpoints["s_b"].startedAt = supervisor.now;
+  supervisor.now += 10 * kSecond;
+  restartSupervisor();
+  run(2 * kSecond);
+  for (ProxyId proxy = 0; proxy < kProxies; ++proxy)
+    EXPECT_EQ(ejectedAt[proxy], std::set<ServerId>()) << "proxy " << proxy;
+}
+
+TEST_F(ProxyReconnectAtRestart, NoReadmissionIsPublishedForServersThatWereNotRestarted) {
+  start();
+  restartSupervisor();
+  run(4 * kSecond);
+  EXPECT_EQ(readmissionCount, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     StreamBreaks, ProxyReconnect,
     testing::Values(ReconnectCase{"ReportedAtOnce", BreakReport::AtOnce, 3 * kSecond},
--- a/tests/decision/slice_ownership_test.cpp
+++ b/tests/decision/slice_ownership_test.cpp
@@ -84,7 +84,6 @@
 class SingleOwnerWrites : public testing::Test {
  protected:
   static constexpr Micros kStep = 50 * kMillisecond;
-  static constexpr ProxyId kProxies = 3;
   static constexpr Micros kLease = 2500 * kMillisecond;
   static constexpr Micros kMessageDelay = 100 * kMillisecond;
   static constexpr Micros kSlowMessageDelay = 800 * kMillisecond;
