EjectionRepeater: what has to be published again has a component of its own

UpdateScheduler had grown by three functions and two members that only concern ejections and readmissions which proxies may not hold. Moved unchanged. What is known of a proxy with unknown state now ends after 10 minutes, like the records of disconnected proxies; before it lasted as long as the process, at a line at every proxy for each server that starts.

--- a/src/decision/applied_updates.cpp
+++ b/src/decision/applied_updates.cpp
@@ -46,6 +46,8 @@
     const bool isExpired = clock_.now() - it->second.since >= kDisconnectedProxyRetention;
     it = isExpired ? disconnected_.erase(it) : std::next(it);
   }
+  if (unknownStateSince_ && clock_.now() - *unknownStateSince_ >= kDisconnectedProxyRetention)
+    unknownStateSince_.reset();
 }
 
 std::optional<UpdateRange> AppliedUpdates::takeMissed() { return std::exchange(missed_, std::nullopt); }
--- a/src/decision/applied_updates.h
+++ b/src/decision/applied_updates.h
@@ -46,7 +46,8 @@
   void acknowledge(ProxyId proxy, UpdateNumber updatesSince);
   /// Records that every connected proxy may have disconnected and connected again without an event.
   void recordUnobservedReconnects();
-  /// Erases the records of proxies that disconnected kDisconnectedProxyRetention ago or earlier.
+  /// Erases what was recorded of proxies that disconnected, or of a proxy with unknown state that connected,
+  /// kDisconnectedProxyRetention ago or earlier.
   void forgetExpired();
 
   /// When a proxy first connected that may hold the effects of updates of another engine: of a predecessor of
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -16,12 +16,6 @@
 /// Largest share of an update that admission ratios may use. They change often under overload, and would
 /// otherwise leave no capacity for migrations.
 constexpr double kMaxRatioShare = 0.5;
-/// Shortest interval between two repetitions of missed readmissions. After a failure, proxies reconnect over
-/// several seconds, and a repetition for each of them would use up the channel.
-constexpr Micros kReadmissionRepeatInterval = 2 * kSecond;
-/// An ejection by an earlier engine may be in force for a server that started this long before the first
-/// proxy with unknown state connected, or later. Covers the time in which a supervisor restarts.
-constexpr Micros kUnknownEjectionAge = 40 * kSecond;
 
 }  // namespace
 
@@ -35,7 +29,8 @@
       actions_(actions),
       routes_(sources.ejections),
       handover_(settings, clock),
-      applied_(clock) {
+      applied_(clock),
+      ejections_(clock, applied_, actions) {
   publishedAdmission_.ratios.assign(settings.classes.size(), 1);
 }
 
@@ -43,7 +38,7 @@
   channel_.connect(event.proxy, clock_.now() - kConnectionEventLag);
   applied_.connect(event.proxy, event.newIncarnation);
   publishedAdmission_.isCurrent = false;
-  hasNewProxies_ = true;
+  ejections_.recordConnection();
   if (handover_.recordConnection(slices, event.proxy, kConnectionEventLag))
     budget_.recordMissedAcknowledgements();
 }
@@ -74,7 +69,7 @@
 void UpdateScheduler::recordMissedAcknowledgements() {
   budget_.recordMissedAcknowledgements();
   applied_.recordUnobservedReconnects();
-  hasNewProxies_ = true;
+  ejections_.recordConnection();
 }
 
 // The state of a slice that was assigned after the update was sent comes from the store, so the update does
@@ -96,48 +91,11 @@
 }
 
 void UpdateScheduler::beginDecision(ServerMap& servers) {
-  if (hasNewProxies_) markMissedEjections(servers);
-  hasNewProxies_ = false;
-  markMissedReadmissions(servers);
-  markUnknownEjections(servers);
+  ejections_.markUnconfirmed(servers);
   applied_.forgetExpired();
   delivery_.beginDecision();
 }
 
-void UpdateScheduler::markMissedEjections(ServerMap& servers) {
-  for (auto& [id, server] : servers) {
-    if (server.ejection.isEjected()) server.ejection.markUnconfirmed();
-  }
-}
-
-void UpdateScheduler::markMissedReadmissions(ServerMap& servers) {
-  if (clock_.now() < nextReadmissionRepeatAt_) return;
-  const std::optional<UpdateRange> missed = applied_.takeMissed();
-  if (!missed) return;
-  int readmissions = 0;
-  for (auto& [id, server] : servers) {
-    if (server.ejection.isEjected() || !missed->contains(server.ejection.lastUpdate())) continue;
-    server.ejection.markUnconfirmed();
-    ++readmissions;
-  }
-  if (readmissions == 0) return;
-  nextReadmissionRepeatAt_ = clock_.now() + kReadmissionRepeatInterval;
-  actions_.log("repeating " + std::to_string(readmissions) +
-               " readmissions that reconnected proxies may have missed");
-}
-
-// If an engine ends after it has ejected a server that drains, proxies ignore the next process of that server
-// until it is readmitted. Servers that this engine has ejected or readmitted itself need nothing.
-void UpdateScheduler::markUnknownEjections(ServerMap& servers) const {
-  const std::optional<Micros> unknownSince = applied_.unknownStateSince();
-  if (!unknownSince) return;
-  for (auto& [id, server] : servers) {
-    const bool isUnpublished = server.ejection.lastUpdate() == 0 && !server.ejection.needsRepeat();
-    const bool mayBeEjected = server.endpoint.startedAt > *unknownSince - kUnknownEjectionAge;
-    if (isUnpublished && mayBeEjected && server.isReady()) server.ejection.markUnconfirmed();
-  }
-}
-
 void UpdateScheduler::sendUpdate(ServerMap& servers, SliceMap& slices) {
   delivery_.holdDecision();
   if (channel_.proxyCount() == 0 || delivery_.isAwaitingOutcome()) return;
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -10,6 +10,7 @@
 #include "decision/applied_updates.h"
 #include "decision/delivery_tracker.h"
 #include "decision/ejection_planner.h"
+#include "decision/ejection_repeater.h"
 #include "decision/load_estimator.h"
 #include "decision/route_planner.h"
 #include "decision/server_state.h"
@@ -75,11 +76,6 @@
     std::vector<double> ratios;
   };
 
-  /// Marks the ejections and readmissions as unconfirmed that connected proxies may have missed.
-  void markMissedEjections(ServerMap& servers);
-  void markMissedReadmissions(ServerMap& servers);
-  /// Marks the readmission of servers as unconfirmed that an engine before this one may have ejected.
-  void markUnknownEjections(ServerMap& servers) const;
   [[nodiscard]] std::vector<PendingUpdate> pendingUpdates(const ServerMap& servers,
                                                           const SliceMap& slices) const;
   void planRatios(TableId table, const SliceState& slice, const ServerMap& servers,
@@ -116,11 +112,8 @@
   SliceHandover handover_;
   DeliveryTracker delivery_;
   AppliedUpdates applied_;
+  EjectionRepeater ejections_;
   PublishedAdmission publishedAdmission_;
-  /// Whether a proxy connected, or may have connected, since the last decision.
-  bool hasNewProxies_ = false;
-  /// Readmissions that proxies missed are not repeated before this time.
-  Micros nextReadmissionRepeatAt_ = 0;
 };
 
 }  // namespace peargrade::decision
--- a/tests/decision/applied_updates_test.cpp
+++ b/tests/decision/applied_updates_test.cpp
@@ -94,5 +94,18 @@
   EXPECT_EQ(applied_.recordCount(), 0U);
 }
 
+TEST_F(AppliedUpdatesTest, OnlyAProxyWithoutARecordThatIsNoNewIncarnationHasUnknownState) {
+  clock_.advanceTo(7 * kSecond);
+  applied_.connect(1, true);
+  applied_.disconnect(1);
+  applied_.connect(1, false);
+  EXPECT_FALSE(applied_.unknownStateSince());
+  applied_.connect(2, false);
+  EXPECT_EQ(applied_.unknownStateSince(), 7 * kSecond);
+  clock_.advanceTo(7 * kSecond + AppliedUpdates::kDisconnectedProxyRetention);
+  applied_.forgetExpired();
+  EXPECT_FALSE(applied_.unknownStateSince());
+}
+
 }  // namespace
 }  // namespace peargrade::decision
