Generated test: no crossing of drains, broken streams and restarts leaves a server ejected

The cases provoke one crossing each.

Not found: a repetition of ejections in force, since all servers are ready in the end, and a record dropped too early, which ProxyReconnect finds.

--- a/tests/decision/proxy_reconnect_test.cpp
+++ b/tests/decision/proxy_reconnect_test.cpp
@@ -1,7 +1,9 @@
 // Proxies that disconnect and connect again hold the ejections that the engine believes to be in force.
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <variant>
@@ -26,6 +28,15 @@
   Micros disconnectedFor;
 };
 
+/// Number of seeds of the generated days. A longer run is started by hand with this environment variable.
+constexpr char kSeedsVariable[] = "PEARGRADE_RECONNECT_SEEDS";
+constexpr int kDefaultSeeds = 200;
+
+int seedCount() {
+  const char* const seeds = std::getenv(kSeedsVariable);
+  return seeds != nullptr ? std::atoi(seeds) : kDefaultSeeds;
+}
+
 /// Three proxies, each with the ejections that it has applied. A proxy keeps them over a broken stream.
 class ProxyReconnectFixture {
  protected:
@@ -188,6 +199,86 @@
   EXPECT_EQ(readmissionCount, 0);
 }
 
+/// Draws drains and restarts of servers, breaks and reconnects of streams, and restarts of the supervisor.
+class GeneratedReconnects : protected ProxyReconnectFixture {
+ public:
+  explicit GeneratedReconnects(unsigned seed) : random_(seed) {}
+
+  /// Runs a generated day, at the end of which all servers are ready and all proxies are connected. Returns
+  /// the servers that a proxy treats as ejected then.
+  std::set<ServerId> run() {
+    start();
+    for (int k = 0; k < kSteps; ++k) {
+      changeServers();
+      changeStreams();
+      if (chance(kSupervisorRestarts)) restartEngine();
+      step();
+    }
+    for (const ServerId& server : std::set<ServerId>(draining_)) restartServer(server);
+    for (const auto& [proxy, report] : std::map<ProxyId, BreakReport>(broken_)) reconnect(proxy, report);
+    ProxyReconnectFixture::run(kSettlingTime);
+    std::set<ServerId> ejected;
+    for (const auto& [proxy, servers] : ejectedAt) ejected.insert(servers.begin(), servers.end());
+    return ejected;
+  }
+
+ private:
+  static constexpr int kSteps = 160;
+  static constexpr Micros kSettlingTime = 12 * kSecond;
+  static constexpr double kServerChanges = 0.08;
+  static constexpr double kStreamChanges = 0.12;
+  static constexpr double kSupervisorRestarts = 0.01;
+
+  bool chance(double probability) { return std::bernoulli_distribution(probability)(random_); }
+  int below(int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(random_); }
+
+  /// The new engine is told of the connected proxies only.
+  void restartEngine() {
+    restartSupervisor();
+    for (auto& [proxy, report] : broken_) report = BreakReport::AtOnce;
+  }
+  void changeServers() {
+    if (!chance(kServerChanges)) return;
+    const ServerId server =
+        SimulatedSupervisor::serverName(below(static_cast<int>(supervisor.endpoints.size())));
+    if (draining_.count(server) > 0) return restartServer(server);
+    if (draining_.size() + 2 > supervisor.endpoints.size()) return;
+    draining_.insert(server);
+    drain(server);
+  }
+  void restartServer(const ServerId& server) {
+    draining_.erase(server);
+    restart(server);
+  }
+  void changeStreams() {
+    if (!chance(kStreamChanges)) return;
+    const ProxyId proxy = below(kProxies);
+    if (const auto it = broken_.find(proxy); it != broken_.end()) return reconnect(proxy, it->second);
+    const auto report = static_cast<BreakReport>(below(3));
+    broken_[proxy] = report;
+    connected.erase(proxy);
+    if (report == BreakReport::AtOnce) handle({ProxyDisconnected{proxy}});
+  }
+  void reconnect(ProxyId proxy, BreakReport report) {
+    broken_.erase(proxy);
+    connected.insert(proxy);
+    if (report == BreakReport::MissedByTheWatch) return handle({AcknowledgementsMissed{}});
+    if (report == BreakReport::AtReconnect) handle({ProxyDisconnected{proxy}});
+    handle({ProxyConnected{proxy, 0, 5, false}});
+  }
+
+  std::mt19937 random_;
+  std::set<ServerId> draining_;
+  std::map<ProxyId, BreakReport> broken_;
+};
+
+// Guards against: a crossing of drains, broken streams and restarts leaves a ready server ejected at a proxy.
+TEST(GeneratedReconnectsTest, NoProxyTreatsAReadyServerAsEjectedInTheEnd) {
+  for (int seed = 1; seed <= seedCount(); ++seed)
+    EXPECT_EQ(GeneratedReconnects(static_cast<unsigned>(seed)).run(), std::set<ServerId>())
+        << "seed " << seed;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     StreamBreaks, ProxyReconnect,
     testing::Values(ReconnectCase{"ReportedAtOnce", BreakReport::AtOnce, 3 * kSecond},
