The readmission of a predecessor's servers rides with the next update, within 2 s

Change: such a server counts as readmitted, and its readmission goes with the next update that is sent anyway, 2 s later at the latest. Readmissions that a known proxy has missed stay urgent.

--- a/src/decision/ejection_repeater.cpp
+++ b/src/decision/ejection_repeater.cpp
@@ -12,6 +12,8 @@
 /// An ejection by an earlier engine may be in force for a server that started this long before the first
 /// proxy with unknown state connected, or later. Covers the time in which a supervisor restarts.
 constexpr Micros kUnknownEjectionAge = 40 * kSecond;
+/// Longest time for which the readmission of such a server waits for an update that is sent anyway.
+constexpr Micros kUnknownEjectionDelay = 2 * kSecond;
 
 }  // namespace
 
@@ -52,7 +54,8 @@
   for (auto& [id, server] : servers) {
     const bool isUnpublished = server.ejection.lastUpdate() == 0 && !server.ejection.needsRepeat();
     const bool mayBeEjected = server.endpoint.startedAt > *unknownSince - kUnknownEjectionAge;
-    if (isUnpublished && mayBeEjected && server.isReady()) server.ejection.markUnconfirmed();
+    if (isUnpublished && mayBeEjected && server.isReady())
+      server.ejection.markUnknown(clock_.now() + kUnknownEjectionDelay);
   }
 }
 
--- a/src/decision/server_state.h
+++ b/src/decision/server_state.h
@@ -26,11 +26,15 @@
     return state_ == State::Ejected || state_ == State::EjectedUnconfirmed;
   }
   /// Whether it has to be published again because its delivery is uncertain.
-  [[nodiscard]] bool needsRepeat() const {
-    return state_ == State::EjectedUnconfirmed || state_ == State::ReadmittedUnconfirmed;
+  [[nodiscard]] bool needsRepeat() const { return state_ != State::Ejected && state_ != State::Readmitted; }
+  /// Whether the repetition may wait for an update that is sent for another reason.
+  [[nodiscard]] bool mayRepeatLater(Micros now) const {
+    return state_ == State::ReadmittedUnknown && now < repeatBy_;
   }
   /// Whether some proxies may currently treat the server as ejected.
-  [[nodiscard]] bool mayBeInForce() const { return state_ != State::Readmitted; }
+  [[nodiscard]] bool mayBeInForce() const {
+    return state_ != State::Readmitted && state_ != State::ReadmittedUnknown;
+  }
   /// The update that published it last; 0: it was never published.
   [[nodiscard]] UpdateNumber lastUpdate() const { return lastUpdate_; }
   void publish(EjectionState state, UpdateNumber update) {
@@ -39,11 +43,19 @@
   }
   /// Records that some proxies may not have received it.
   void markUnconfirmed() { state_ = isEjected() ? State::EjectedUnconfirmed : State::ReadmittedUnconfirmed; }
+  /// Records that an earlier engine may have ejected the server, which is unlikely: the server counts as
+  /// readmitted. The readmission is published with the next update, which is sent at `repeatBy` at the
+  /// latest.
+  void markUnknown(Micros repeatBy) {
+    state_ = State::ReadmittedUnknown;
+    repeatBy_ = repeatBy;
+  }
 
  private:
-  enum class State { Readmitted, ReadmittedUnconfirmed, Ejected, EjectedUnconfirmed };
+  enum class State { Readmitted, ReadmittedUnconfirmed, ReadmittedUnknown, Ejected, EjectedUnconfirmed };
   State state_ = State::Readmitted;
   UpdateNumber lastUpdate_ = 0;
+  Micros repeatBy_ = 0;
 };
 
 /// Whether a server is an outlier. An outlier gets no slices for an ejection time, which doubles with each
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -100,10 +100,14 @@
   delivery_.holdDecision();
   if (channel_.proxyCount() == 0 || delivery_.isAwaitingOutcome()) return;
   std::vector<PendingUpdate> pending = pendingUpdates(servers, slices);
-  const std::size_t ejections = sources_.ejections.plan(servers, slices).size();
+  const std::vector<SetEjection> ejections = sources_.ejections.plan(servers, slices);
+  const auto urgentEjections = std::count_if(ejections.begin(), ejections.end(), [&](const auto& ejection) {
+    return !servers.at(ejection.server).ejection.mayRepeatLater(clock_.now());
+  });
   std::sort(pending.begin(), pending.end());
   std::vector<Action> update;
-  if (canSend(pending, ejections)) update = fillUpdate(pending, servers, slices);
+  if (canSend(pending, static_cast<std::size_t>(urgentEjections)))
+    update = fillUpdate(pending, servers, slices);
   const bool isAcknowledgementRequestOnly = update.empty();
   if (isAcknowledgementRequestOnly && !canRequestAcknowledgements()) return;
   dropSuperseded(update);
--- a/tests/decision/state_test.cpp
+++ b/tests/decision/state_test.cpp
@@ -25,6 +25,19 @@
   EXPECT_FALSE(ejection.mayBeInForce());
 }
 
+TEST(PublishedEjectionTest, ReadmissionAfterAnUnknownEjectionWaitsForABoundedTime) {
+  PublishedEjection ejection;
+  ejection.markUnknown(100);
+  EXPECT_TRUE(ejection.needsRepeat());
+  EXPECT_FALSE(ejection.mayBeInForce()) << "the server can be used meanwhile";
+  EXPECT_TRUE(ejection.mayRepeatLater(99));
+  EXPECT_FALSE(ejection.mayRepeatLater(100));
+  ejection.publish(EjectionState::Readmitted, 1);
+  EXPECT_FALSE(ejection.needsRepeat());
+  ejection.markUnconfirmed();
+  EXPECT_FALSE(ejection.mayRepeatLater(0)) << "a missed readmission is urgent";
+}
+
 TEST(OutlierRecordTest, EjectionTimeDoublesEachTime) {
   OutlierRecord outlier;
   outlier.eject(0, 8);
