--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,7 +23,7 @@
         names = ["s-%d" % k for k in range(SERVERS)]
         for k, name in enumerate(names):
             world.add_server(name, ZONES[k % 3])
-            world.servers[name].time = lambda: s.random.uniform(0.4, 0.85)
+            world.servers[name].time = lambda: s.random.uniform(0.6, 0.95)
         for number in range(SLICES):
             world.relay.tables[number] = {names[number % SERVERS]: "1.0"}
         world.add_proxies(8, (0.2, 0.44))
