--- a/review/common-2/zone.py
+++ b/review/common-2/zone.py
@@ -35,8 +35,7 @@
         self.keys = self.write("keys.kdl", 'key "deploy" algorithm="hmac-sha256" secret="%s"\n'
                                % base64.b64encode(os.urandom(32)).decode())
         os.chmod(self.keys, 0o600)
-        text = "$ORIGIN %s.\n@ 60 IN SOA ns hostmaster 1 3600 600 86400 60\n@ 60 IN NS ns\nns 60 IN A 127.0.9.250\n"
-        self.write("orders.zone", text % ORIGIN + "".join(lines("file", k) for k in servers))
+        self.write_file(servers, 1)
         self.operator = self.write("operator.kdl", """version 1
 sources {
     roster true
@@ -64,6 +63,12 @@
             f.write(text)
         return path
 
+    def write_file(self, servers, serial):
+        """Replaces the zone file."""
+        text = "$ORIGIN %s.\n@ 60 IN SOA ns hostmaster %d 3600 600 86400 60\n@ 60 IN NS ns\nns 60 IN A 127.0.9.250\n"
+        new = self.write("orders.zone.new", text % (ORIGIN, serial) + "".join(lines("file", k) for k in servers))
+        os.rename(new, os.path.join(self.folder, "orders.zone"))
+
     async def update(self, name, script, server=None):
         """Runs `peargrade zone update`; returns its exit code."""
         path = self.write(name + ".script", script)
