--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,7 +16,8 @@
 
 async def case(folder):
     settings = s.settings(CLASSES, {"shards": SLICES, "oneOwner": True, "leaseUs": 800000, "inFlightMaxUs": 1000000,
-                                    "mutating": [False, True], "updateCap": 0}, {"drainGraceUs": 3000000}, ZONES)
+                                    "mutating": [False, True], "updateCap": 0,
+                                    "pushDelayUs": 305000, "pushDelayMaxUs": 762500}, {"drainGraceUs": 3000000}, ZONES)
     world = s.World(folder, settings, ZONES, one_owner=True)
     try:
         await world.start()
@@ -26,7 +27,7 @@
             world.servers[name].time = lambda: s.random.uniform(0.6, 0.95)
         for number in range(SLICES):
             world.relay.tables[number] = {names[number % SERVERS]: "1.0"}
-        world.add_proxies(8, (0.2, 0.44))
+        world.add_proxies(8, (0.2, 0.76))
         writes = s.OwnerRule(world, "prenota")
         world.on_attempt = writes.begin
         traffic = asyncio.ensure_future(world.traffic(140, [0.7, 0.3], {3: 2, 13: 2, 23: 2}))
