--- a/review/10/case.py
+++ b/review/10/case.py
@@ -7,10 +7,6 @@
 import standins as s  # noqa: E402
 import zone as z  # noqa: E402
 
-ZONES = ["belen", "itagui", "bello"]
-CLASSES = [{"name": "cart-read", "aimUs": 750000, "hardLimitUs": 2500000, "effect": "repeatable", "worth": 3.0},
-           {"name": "place-order", "aimUs": 1200000, "hardLimitUs": 3000000, "effect": "by_key",
-            "dedupScope": "cell", "keyTtlUs": 2000000, "worth": 9.0}]
 SERVERS = 8
 SLICES = 48
 GONE = 7                      # the server that is drained and then removed by updates
@@ -18,16 +14,16 @@
 
 
 async def case(folder):
-    world = s.World(folder, s.settings(CLASSES, {"shards": SLICES, "mutating": [False, True]}, {}, ZONES), ZONES)
+    world = s.World.medellin(folder, SLICES)
     try:
         await world.start()
         names = ["s-%d" % k for k in range(SERVERS)]
         for k, name in enumerate(names):
-            world.add_server(name, ZONES[k % 3], endpoint="%s:3000" % z.address(k))
+            world.add_server(name, world.zones[k % 3], endpoint="%s:3000" % z.address(k))
         for number in range(SLICES):
             world.relay.tables[number] = {names[number % SERVERS]: "1.0"}
         world.add_proxies(8, (0.11, 0.48))
-        zone = z.Zone(world, range(SERVERS), ZONES[0])
+        zone = z.Zone(world, range(SERVERS), world.zones[0])
         removed_at = [None]
         late = []
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,30 +6,16 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 import standins as s  # noqa: E402
 
-ZONES = ["via-roma", "deposito-nord", "contrada-sud"]
-CLASSES = [{"name": "preventivo", "aimUs": 2500000, "hardLimitUs": 6000000, "effect": "repeatable", "worth": 1.0},
-           {"name": "prenota", "aimUs": 3000000, "hardLimitUs": 10000000, "effect": "once", "worth": 3.0}]
 SERVERS = 10
 SLICES = 30
 FIRST, SECOND = "s-1", "s-3"   # the servers that drain, one shortly after the other
 
 
 async def case(folder):
-    settings = s.settings(CLASSES, {"shards": SLICES, "oneOwner": True, "leaseUs": 800000, "inFlightMaxUs": 1000000,
-                                    "mutating": [False, True], "updateCap": 0,
-                                    "pushDelayUs": 305000, "pushDelayMaxUs": 762500}, {"drainGraceUs": 3000000}, ZONES)
-    world = s.World(folder, settings, ZONES, one_owner=True)
+    names = ["s-%d" % k for k in range(SERVERS)]
+    owners = [names[number % SERVERS] for number in range(SLICES)]
+    world, writes = await s.one_owner_world(folder, names, owners, (0.2, 0.76))
     try:
-        await world.start()
-        names = ["s-%d" % k for k in range(SERVERS)]
-        for k, name in enumerate(names):
-            world.add_server(name, ZONES[k % 3])
-            world.servers[name].time = lambda: s.random.uniform(0.6, 0.95)
-        for number in range(SLICES):
-            world.relay.tables[number] = {names[number % SERVERS]: "1.0"}
-        world.add_proxies(8, (0.2, 0.76))
-        writes = s.OwnerRule(world, "prenota")
-        world.on_attempt = writes.begin
         traffic = asyncio.ensure_future(world.traffic(140, [0.7, 0.3], {3: 2, 13: 2, 23: 2}))
         world.collectors()
         await world.supervisor()
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,27 +7,19 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 import standins as s  # noqa: E402
 
-ZONES = ["belen", "itagui", "bello"]
 SERVERS = 15
 SLICES = 90
 # After SIGHUP time limits wait 4 s; a message takes 0.48 s at most and waits for the engine's pace. Generously:
 SETTLED = 10.0
 
 
-def settings(effect):
-    classes = [{"name": "cart-read", "aimUs": 750000, "hardLimitUs": 2500000, "effect": effect, "worth": 3.0},
-               {"name": "place-order", "aimUs": 1200000, "hardLimitUs": 3000000, "effect": "by_key",
-                "dedupScope": "cell", "keyTtlUs": 2000000, "worth": 9.0}]
-    return s.settings(classes, {"shards": SLICES, "mutating": [False, True]}, {}, ZONES)
-
-
 async def case(folder):
-    world = s.World(folder, settings("repeatable" if s.TROUBLE else "once"), ZONES)
+    world = s.World.medellin(folder, SLICES, "repeatable" if s.TROUBLE else "once")
     try:
         await world.start()
         names = ["s-%02d" % k for k in range(SERVERS)]
         for k, name in enumerate(names):
-            world.add_server(name, ZONES[k % 3])
+            world.add_server(name, world.zones[k % 3])
         for number in range(SLICES):
             world.relay.tables[number] = {names[number % SERVERS]: "1.0"}
         world.add_proxies(8, (0.11, 0.48))
@@ -56,7 +48,7 @@
         await asyncio.sleep(12)
         # A part of a rolling deploy, with and without the disruption.
         for k in range(3):
-            world.new_server("t-%02d" % k, ZONES[k])
+            world.new_server("t-%02d" % k, world.zones[k])
             await asyncio.sleep(2.5)
             world.discovery.state(names[k], "DRAINING")
             asyncio.get_running_loop().call_later(4, world.discovery.state, names[k], "DELETED")
@@ -68,7 +60,7 @@
         for server in world.servers.values():
             server.breaks = 0.05
         if s.TROUBLE:
-            world.settings = settings("once")
+            world.settings["classes"] = s.medellin("once")
             world.configuration(version=2)
             child.send_signal(signal.SIGHUP)
             once_from[0] = world.record.now()
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -18,6 +18,19 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "127.0.0.1"
 
+# Zones and classes of two sites.
+MEDELLIN_ZONES = ["belen", "itagui", "bello"]
+CALTAVUTURO_ZONES = ["via-roma", "deposito-nord", "contrada-sud"]
+CALTAVUTURO = [
+    {"name": "preventivo", "aimUs": 2500000, "hardLimitUs": 6000000, "effect": "repeatable", "worth": 1.0},
+    {"name": "prenota", "aimUs": 3000000, "hardLimitUs": 10000000, "effect": "once", "worth": 3.0}]
+
+
+def medellin(read_effect="repeatable"):
+    return [{"name": "cart-read", "aimUs": 750000, "hardLimitUs": 2500000, "effect": read_effect, "worth": 3.0},
+            {"name": "place-order", "aimUs": 1200000, "hardLimitUs": 3000000, "effect": "by_key",
+             "dedupScope": "cell", "keyTtlUs": 2000000, "worth": 9.0}]
+
 
 class CannotRun(Exception):
     """The case could not run: exit code 2."""
@@ -348,6 +361,11 @@
         self.collector_on = True
         self.on_attempt = None  # (proxy, request, server): with its span: called when an attempt begins to run
 
+    @classmethod
+    def medellin(cls, folder, slices, read_effect="repeatable"):
+        values = settings(medellin(read_effect), {"shards": slices, "mutating": [False, True]}, {}, MEDELLIN_ZONES)
+        return cls(folder, values, MEDELLIN_ZONES)
+
     async def start(self):
         await self.discovery.start()
         await self.relay.start()
@@ -631,12 +649,32 @@
             "limits": {"probes": False, "peerMessages": False}, "extra": values, "rules": limits}
 
 
+async def one_owner_world(folder, names, owners, delay):
+    """A site with one owner for each slice: `owners` by slice, proxies that apply messages after `delay`."""
+    extra = {"shards": len(owners), "oneOwner": True, "leaseUs": 800000, "inFlightMaxUs": 1000000, "updateCap": 0,
+             "mutating": [False, True], "pushDelayUs": 305000, "pushDelayMaxUs": 762500}
+    world = World(folder, settings(CALTAVUTURO, extra, {"drainGraceUs": 3000000}, CALTAVUTURO_ZONES),
+                  CALTAVUTURO_ZONES, one_owner=True)
+    await world.start()
+    for k, name in enumerate(names):
+        world.add_server(name, world.zones[k % 3])
+        world.servers[name].time = lambda: random.uniform(0.6, 0.95)
+    for number, owner in enumerate(owners):
+        world.relay.tables[number] = {owner: "1.0"}
+    world.add_proxies(8, delay)
+    writes = OwnerRule(world, "prenota")
+    world.on_attempt = writes.begin
+    return world, writes
+
+
 BROKEN = 10   # exit code of a case whose rule was broken; run.sh makes it 1, and everything unknown 2
 
 
 def main(case, limit=110):
     """Runs `case(folder)`, which returns (broken, text). Exits with 0 if the rule held, BROKEN, or 2."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    if os.environ.get("SEED"):   # fixes the draws of the stand-ins, not the timing
+        random.seed(os.environ["SEED"])
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     loop = asyncio.new_event_loop()
     task = loop.create_task(asyncio.wait_for(case(folder), limit))
