--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,13 +7,14 @@
 import standins as s  # noqa: E402
 
 PIECE_GAP = 0.1   # seconds between two pieces
-CUT_SLICES = [10, 16, 22]
-SLICES = 24
+SERVERS = 15
+SLICES = 94
+CUT_SLICES = [49, 64, 79]   # of s-00
 
 
 async def case(folder):
-    names = ["s-%d" % k for k in range(6)]
-    owners = [names[max(0, number - 4) % 6] for number in range(SLICES)]   # s-0 has four slices more than the others
+    names = ["s-%02d" % k for k in range(SERVERS)]
+    owners = [names[max(0, number - 4) % SERVERS] for number in range(SLICES)]   # s-00 has four more than the others
     world, writes = await s.one_owner_world(folder, names, owners, (0.098, 0.76))
     try:
         if s.TROUBLE:
@@ -25,11 +26,14 @@
                     return PIECE_GAP
                 return 0
             world.relay.replay_gap = gap
-        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(CUT_SLICES, 2)))
         world.collectors()
         await world.supervisor()
+        # 13% of the traffic on top goes to the three slices that are in demand.
+        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(CUT_SLICES, 5.5)))
         await asyncio.sleep(20)
         traffic.cancel()
+        if s.TROUBLE and cuts:
+            raise s.CannotRun("the replay was not cut")
         return writes.result()
     finally:
         world.close()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,19 +6,21 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 import standins as s  # noqa: E402
 
-SERVERS = 10
-SLICES = 30
-STEPS = [("s-1", "s-3"), ("s-5", "s-7")]   # the servers of two steps of a deploy; the second drains just after the first
+SERVERS = 15
+SLICES = 90
+HOT = [3, 33, 7, 37]   # slices in demand, of two servers that drain
+STEPS = [("s-01", "s-03"), ("s-05", "s-07")]   # the servers of two steps of a deploy; the second drains just after the first
 
 
 async def case(folder):
-    names = ["s-%d" % k for k in range(SERVERS)]
+    names = ["s-%02d" % k for k in range(SERVERS)]
     owners = [names[number % SERVERS] for number in range(SLICES)]
     world, writes = await s.one_owner_world(folder, names, owners, (0.2, 0.76))
     try:
-        traffic = asyncio.ensure_future(world.traffic(140, [0.7, 0.3], dict.fromkeys((3, 13, 23, 7, 17, 27), 1.8)))
         world.collectors()
         await world.supervisor()
+        # 13% of the traffic on top goes to the slices in demand.
+        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(HOT, 4.4)))
         await asyncio.sleep(8)
 
         for step, (first, second) in enumerate(STEPS):
@@ -38,8 +40,10 @@
             world.relay.on_call = on_call
             world.discovery.state(first, "DRAINING")
             await asyncio.sleep(9)
+            if s.TROUBLE and not reset:
+                raise s.CannotRun("the second call of step %d was not reset" % step)
             for k, name in enumerate((first, second)):
-                world.discovery.state(name, "DELETED")
+                world.remove_server(name)
                 world.new_server("t-%d" % (2 * step + k), world.servers[name].az)
         await asyncio.sleep(3)
         traffic.cancel()
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -51,11 +51,13 @@
             world.new_server("t-%02d" % k, world.zones[k])
             await asyncio.sleep(2.5)
             world.discovery.state(names[k], "DRAINING")
-            asyncio.get_running_loop().call_later(4, world.discovery.state, names[k], "DELETED")
+            asyncio.get_running_loop().call_later(4, world.remove_server, names[k])
             await asyncio.sleep(1)
         await asyncio.sleep(14)
         own = sorted({f[1] for _, f in world.relay.orders_seen if f[0] == "gate" and f[1] != "*"}, key=int)
         world.record("slices with levels of their own: %s" % ", ".join(own))
+        if not own:
+            raise s.CannotRun("no slice has got a level of its own")
         # From now on one request in twenty loses its connection after it has run.
         for server in world.servers.values():
             server.breaks = 0.05
--- a/review/common-2/run.sh
+++ b/review/common-2/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 python3 "$1/case.py" &
 child=$!
-trap 'kill "$child" 2> /dev/null' INT TERM
+trap 'kill "$child" 2> /dev/null' HUP INT TERM
 wait "$child"
 code=$?
 wait "$child" 2> /dev/null
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -46,13 +46,17 @@
     def __init__(self, folder):
         self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.start = time.monotonic()
+        self.flushed = 0.0
 
     def now(self):
         return time.monotonic() - self.start
 
     def __call__(self, text):
-        self.file.write("%8.3f %s\n" % (self.now(), text))
-        self.file.flush()
+        now = self.now()
+        self.file.write("%8.3f %s\n" % (now, text))
+        if now > self.flushed + 0.5:
+            self.file.flush()
+            self.flushed = now
 
 
 class Discovery:
@@ -146,6 +150,7 @@
         self.proxies = {}     # joined proxies by number
         self.known = set()    # servers that discovery has listed
         self.watches = set()
+        self.replays = {}     # by connection: news that waits for the end of its replay
         self.connections = set()
         self.on_call = None   # (orders) -> "run" | "run, no answer" | "reset unrun"
         self.replay_gap = None  # (line) -> seconds to wait before that line of a replay
@@ -164,21 +169,11 @@
         self.watches.clear()
         self.record("relay: all connections are reset")
 
-    async def down(self):
-        """The relay's process dies: connections are reset, new ones are refused."""
-        self.server.close()
-        for writer in list(self.connections):
-            abort(writer)
-        self.watches.clear()
-        self.record("relay: down")
-
-    async def up(self):
-        await self.start(self.port)
-        self.record("relay: up again")
-
     def tell(self, line):
         for writer in list(self.watches):
             writer.write((line + "\r\n").encode())
+        for waiting in self.replays.values():
+            waiting.append(line)
 
     def replay(self):
         lines = []
@@ -193,28 +188,34 @@
         self.connections.add(writer)
         try:
             while True:
-                line = (await reader.readuntil(b"\r\n")).decode().rstrip("\r\n")
+                idle = None if writer in self.watches else 10
+                line = (await asyncio.wait_for(reader.readuntil(b"\r\n"), idle)).decode().rstrip("\r\n")
                 if line == "WATCH":
                     self.record("relay: WATCH")
                     writer.write(b"OK\r\n")
-                    for reply in self.replay():
+                    replay = self.replay()
+                    self.replays[writer] = []
+                    for reply in replay:
                         gap = self.replay_gap(reply) if self.replay_gap else 0
                         if gap:
                             await writer.drain()
                             self.record("relay: %.0f ms pass before '%s'" % (1000 * gap, reply))
                             await asyncio.sleep(gap)
                         writer.write((reply + "\r\n").encode())
+                    for reply in self.replays.pop(writer):
+                        writer.write((reply + "\r\n").encode())
                     self.watches.add(writer)
                     asyncio.ensure_future(self.beat(writer))
                 elif line.startswith("APPLY "):
                     self.call(line[6:].split(";"), writer)
                 else:
                     writer.write(b"ERR invalid\r\n")
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             pass
         finally:
             self.connections.discard(writer)
             self.watches.discard(writer)
+            self.replays.pop(writer, None)
             writer.close()
 
     async def beat(self, writer):
@@ -231,6 +232,7 @@
         taken = self.execute(orders)
         if what == "run":
             writer.write(b"OK %d\r\n" % taken)
+            self.record("answer: OK %d" % taken)
 
     def execute(self, orders):
         message = []
@@ -354,6 +356,8 @@
         self.proxies = []
         self.children = []
         self.stats = {}
+        self.requests = 0
+        self.stopping = set()   # supervisors that a case has ended itself
         self.demand = {}
         self.temporary = tempfile.mkdtemp(prefix="review-2-")
         self.log = open(os.path.join(self.temporary, "log"), "w+b")
@@ -383,6 +387,11 @@
         entry = dict(self.discovery.targets[uid], boot_ms=int(time.time() * 1000))
         self.discovery.change([(uid, entry)])
 
+    def remove_server(self, uid):
+        """The process of a drained server ends."""
+        self.servers[uid].alive = False
+        self.discovery.state(uid, "DELETED")
+
     def add_proxies(self, count, delay):
         for number in range(count):
             proxy = Proxy(self, number, self.zones[number % len(self.zones)], delay)
@@ -416,8 +425,16 @@
         self.record("supervisor: started")
         await self.ready(child)
         self.record("supervisor: ready")
+        asyncio.ensure_future(self.guard(child))
         return child
 
+    async def guard(self, child):
+        while child.poll() is None:
+            await asyncio.sleep(0.2)
+        if child.pid not in self.stopping:
+            CRASHES.append("a supervisor ended by itself with %s" % child.returncode)
+            self.record(CRASHES[-1])
+
     async def ready(self, child):
         host, port = self.listen.split(":")
         deadline = time.monotonic() + 20
@@ -437,6 +454,7 @@
         raise CannotRun("the supervisor did not become ready")
 
     async def stop(self, child, how=signal.SIGTERM):
+        self.stopping.add(child.pid)
         child.send_signal(how)
         self.record("supervisor: signal %s" % signal.Signals(how).name)
         for _ in range(100):
@@ -462,6 +480,7 @@
 
     async def request(self, proxy, request):
         key = (request["slice"], request["kind"])
+        self.requests += 1
         self.demand.setdefault(key, [0, 0])[0] += 1
         level, again = proxy.policy(*key)
         if random.random() >= level:
@@ -505,6 +524,9 @@
             outcome = "ok" if span <= limit else "timeout"
             if outcome == "ok" and random.random() < server.breaks:
                 outcome = "reset"
+        self.record("request %d of %s, slice %d, proxy %d to %s: %s after %.3f s"
+                    % (request["id"], request["kind"], request["slice"], proxy.number, uid, outcome,
+                       time.monotonic() - begun))
         stats[0] += 1
         if outcome == "ok":
             stats[2] += time.monotonic() - begun
@@ -651,7 +673,7 @@
 
 async def one_owner_world(folder, names, owners, delay):
     """A site with one owner for each slice: `owners` by slice, proxies that apply messages after `delay`."""
-    extra = {"shards": len(owners), "oneOwner": True, "leaseUs": 800000, "inFlightMaxUs": 1000000, "updateCap": 0,
+    extra = {"shards": len(owners), "proxyCount": 10, "oneOwner": True, "leaseUs": 800000, "inFlightMaxUs": 1000000, "updateCap": 0,
              "mutating": [False, True], "pushDelayUs": 305000, "pushDelayMaxUs": 762500}
     world = World(folder, settings(CALTAVUTURO, extra, {"drainGraceUs": 3000000}, CALTAVUTURO_ZONES),
                   CALTAVUTURO_ZONES, one_owner=True)
@@ -661,12 +683,13 @@
         world.servers[name].time = lambda: random.uniform(0.6, 0.95)
     for number, owner in enumerate(owners):
         world.relay.tables[number] = {owner: "1.0"}
-    world.add_proxies(8, delay)
+    world.add_proxies(10, delay)
     writes = OwnerRule(world, "prenota")
     world.on_attempt = writes.begin
     return world, writes
 
 
+CRASHES = []
 BROKEN = 10   # exit code of a case whose rule was broken; run.sh makes it 1, and everything unknown 2
 
 
@@ -678,11 +701,13 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     loop = asyncio.new_event_loop()
     task = loop.create_task(asyncio.wait_for(case(folder), limit))
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         loop.add_signal_handler(number, task.cancel)
     code = 2
     try:
         broken, text = loop.run_until_complete(task)
+        if CRASHES:
+            raise CannotRun(CRASHES[0])
         code = BROKEN if broken else 0
         text = ("BROKEN " if broken else "held ") + text
     except asyncio.TimeoutError:
