--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,6 +10,7 @@
 SERVERS = 15
 SLICES = 94
 CUT_SLICES = [49, 64, 79]   # of s-00
+HOT = CUT_SLICES[1:]        # slices in demand
 
 
 async def case(folder):
@@ -28,8 +29,8 @@
             world.relay.replay_gap = gap
         world.collectors()
         await world.supervisor()
-        # 13% of the traffic on top goes to the three slices that are in demand.
-        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(CUT_SLICES, 5.5)))
+        # 13% of the traffic on top goes to the slices in demand.
+        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(HOT, 8.3)))
         await asyncio.sleep(20)
         traffic.cancel()
         if s.TROUBLE and cuts:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,7 @@
 
 SERVERS = 15
 SLICES = 90
-HOT = [3, 33, 7, 37]   # slices in demand, of two servers that drain
+HOT = [3, 7]   # slices in demand, of two servers that drain
 STEPS = [("s-01", "s-03"), ("s-05", "s-07")]   # the servers of two steps of a deploy; the second drains just after the first
 
 
@@ -20,7 +20,7 @@
         world.collectors()
         await world.supervisor()
         # 13% of the traffic on top goes to the slices in demand.
-        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(HOT, 4.4)))
+        traffic = asyncio.ensure_future(world.traffic(140, [0.65, 0.35], dict.fromkeys(HOT, 7.7)))
         await asyncio.sleep(8)
 
         for step, (first, second) in enumerate(STEPS):
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -680,7 +680,7 @@
     await world.start()
     for k, name in enumerate(names):
         world.add_server(name, world.zones[k % 3])
-        world.servers[name].time = lambda: random.uniform(0.6, 0.95)
+        world.servers[name].time = lambda: random.uniform(0.8, 0.98)
     for number, owner in enumerate(owners):
         world.relay.tables[number] = {owner: "1.0"}
     world.add_proxies(10, delay)
