Every lost relay call is kept until it is settled, not the last one only

Callers saw writes of a single-owner slice run at two servers in a rolling deploy, after one lost answer and one reset. Cause: UpdateCalls remembered the last call of unknown outcome only. When a second call was lost, StoreView explained the effect of the first by the second and reported the second as executed; its removals were never sent, and the new owners were set.

CallLog keeps each call whose effect is not settled, in order, with what the tables may contain.

--- a/src/relay/call_connection.cpp
+++ b/src/relay/call_connection.cpp
@@ -36,6 +36,7 @@
                                             " ms");
       }) {
   calls_.onAccepted(handlers_.accepted);
+  calls_.onSettled(handlers_.settled);
 }
 
 CallConnection::~CallConnection() {
--- a/src/relay/call_connection.h
+++ b/src/relay/call_connection.h
@@ -23,6 +23,8 @@
     std::function<void(const Call&)> sent;
     /// Called for each command that the relay has accepted, in the order of the call.
     std::function<void(const Command&)> accepted;
+    /// Called when the outcome of a call is known, or known to be unknown, after its accepted commands.
+    std::function<void(const SettledCall&)> settled;
     /// Returns the address of the open watch, or nullptr while no watch is open.
     std::function<const net::Address*()> watchAddress;
   };
--- a/src/relay/relay_client.cpp
+++ b/src/relay/relay_client.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "errors/parse_error.h"
@@ -28,8 +29,9 @@
       log_(log),
       batch_(base, limits.batchDelay, limits.batchDelayMax, dispatcher),
       calls_(base, address, limits, seed + 1, dispatcher, log,
-             {[this](const Call& call) { view_.onCallSent(call); },
+             {[this](const Call& call) { onCallSent(call); },
               [this](const Command& command) { view_.onCommandAccepted(command); },
+              [this](const SettledCall& settled) { onCallSettled(settled); },
               [this] { return watch_.openAddress(); }}),
       watch_(base, address, limits, seed, log,
              {[this] { onWatchOpened(); }, [this](const std::string& line) { onWatchLine(line); },
@@ -59,14 +61,41 @@
 
 void RelayClient::onWatchOpened() {
   batch_.flush();
-  const UpdateCalls& calls = calls_.calls();
-  view_.beginReplay(calls.unconfirmed());
-  if (calls.awaitingReply()) view_.onCallSent(calls.inFlight());
+  forgetOldCalls();
+  view_.beginReplay(firstCallNotShown());
   reportMissedAcknowledgements();
   dispatcher_.relayConnected();
   calls_.closeIfMoved();
 }
 
+void RelayClient::onCallSent(const Call& call) {
+  forgetOldCalls();
+  recentCalls_.push_back({call.id, net::steadyNow()});
+  view_.onCallSent(call);
+}
+
+void RelayClient::onCallSettled(const SettledCall& settled) {
+  view_.onCallSettled(settled);
+  const std::size_t unknownCalls = view_.unknownCalls();
+  if (settled.outcome == CallOutcome::Unknown && unknownCalls > 1)
+    log_.warn("relay") << unknownCalls << " calls may or may not have been executed";
+}
+
+/// The first call whose effect a watch that is opened now may not show.
+CallId RelayClient::firstCallNotShown() const {
+  const UpdateCalls& calls = calls_.calls();
+  CallId first = calls.counts().calls + 1;
+  if (!recentCalls_.empty()) first = recentCalls_.front().id;
+  return calls.awaitingReply() ? std::min(first, calls.inFlight().id) : first;
+}
+
+// A relay executes a call within the reply timeout or not at all. A watch opened within that time may show
+// the store as it was before the call.
+void RelayClient::forgetOldCalls() {
+  const Micros settledBefore = net::steadyNow() - limits_.replyTimeout;
+  while (!recentCalls_.empty() && recentCalls_.front().sentAt < settledBefore) recentCalls_.pop_front();
+}
+
 // A replay holds the present state, not past acknowledgements. Those sent between the last line of the former
 // watch and the start of this one are lost.
 void RelayClient::reportMissedAcknowledgements() {
@@ -102,7 +131,7 @@
     // reconnected with increasing backoff.
     watch_.resetBackoff();
   }
-  const CallId unconfirmed = calls_.calls().unconfirmed().id;
+  const CallId unconfirmed = calls_.calls().unconfirmed();
   if (view_.confirmsCall(unconfirmed)) calls_.onCallConfirmed(unconfirmed);
   calls_.reportConfirmedDelivery();
   batch_.add(std::move(events), continuationAfter(event));
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <string>
 
 #include "dispatch/dispatcher.h"
@@ -40,12 +41,23 @@
 
  private:
   void sendUpdate(const dispatch::Dispatcher::TableUpdate& update);
+  void onCallSent(const Call& call);
+  void onCallSettled(const SettledCall& settled);
+  void forgetOldCalls();
+  CallId firstCallNotShown() const;
   void onWatchOpened();
   void reportMissedAcknowledgements();
   void onWatchLine(const std::string& line);
   void onWatchEvent(const WatchEvent& event);
   void onUnreadableAcknowledgement(const std::string& error);
 
+  /// A call that the relay may still execute.
+  struct RecentCall {
+    CallId id;
+    /// By net::steadyNow().
+    Micros sentAt;
+  };
+
   const Names& names_;
   const int slices_;
   const Limits limits_;
@@ -53,6 +65,8 @@
   log::Log& log_;
   StoreView view_;
   EventBatch batch_;
+  /// Calls sent within the reply timeout, in their order.
+  std::deque<RecentCall> recentCalls_;
   std::uint64_t unreadableAcknowledgements_ = 0;
   /// Whether a watch has been open since the start.
   bool hasOpenedWatch_ = false;
--- a/src/relay/update_calls.cpp
+++ b/src/relay/update_calls.cpp
@@ -54,7 +54,7 @@
 }
 
 std::size_t UpdateCalls::recordCount() const {
-  return pending_.size() + inFlight_.commands.size() + unconfirmed_.commands.size() + droppedCommands_.size();
+  return pending_.size() + inFlight_.commands.size() + droppedCommands_.size();
 }
 
 std::string UpdateCalls::beginCall() {
@@ -80,7 +80,7 @@
     return onAcceptedCount(*count);
   }
   if (isError(line, "throttled")) {
-    markUndelivered(Execution::NotExecuted);
+    markUndelivered(CallOutcome::NotExecuted, 0);
     return CallResult::Throttled;
   }
   // A corrupt reply may read `invalid`, so a single one leaves the outcome unknown. An update that gets only
@@ -103,16 +103,16 @@
   const bool repeated = rejected == rejectedCommand_;
   rejectedCommand_ = rejected;
   if (repeated) droppedCommands_.push_back(rejectedCommand_);
-  markUndelivered(Execution::Unknown);
+  markUndelivered(CallOutcome::Unknown, accepted);
   return repeated ? CallResult::Dropped : CallResult::PartiallyAccepted;
 }
 
 CallResult UpdateCalls::dropInvalidUpdate() {
   invalidReplies_ = 0;
   rejectedCommand_ = inFlight_.commands.empty() ? "" : inFlight_.commands.front().text;
-  inFlight_ = Call();
+  reportSettled(CallOutcome::Unknown, 0);
   pending_.clear();
-  onCallExecuted();
+  completeCall();
   return CallResult::Invalid;
 }
 
@@ -121,21 +121,30 @@
   for (std::size_t k = 0; k < count; ++k) acceptedHandler_(inFlight_.commands[k]);
 }
 
-// An update is delivered once its last call has been executed.
+void UpdateCalls::reportSettled(CallOutcome outcome, std::size_t accepted) const {
+  if (settledHandler_) settledHandler_({inFlight_.id, outcome, accepted});
+}
+
 void UpdateCalls::onCallExecuted() {
   reportAccepted(inFlight_.commands.size());
+  reportSettled(CallOutcome::Executed, inFlight_.commands.size());
+  completeCall();
+}
+
+// An update is delivered once its last call has been executed.
+void UpdateCalls::completeCall() {
   inFlight_ = Call();
   state_ = DeliveryState::Idle;
   if (!pending_.empty()) return;
   state_ = DeliveryState::Delivered;
-  unconfirmed_ = Call();
   droppedCommands_.clear();
 }
 
-void UpdateCalls::markUndelivered(Execution execution) {
+void UpdateCalls::markUndelivered(CallOutcome outcome, std::size_t accepted) {
   ++counts_.undelivered;
-  if (execution == Execution::NotExecuted && awaitingReply()) --messageCount_;
-  if (execution == Execution::Unknown) unconfirmed_ = inFlight_;
+  isOutcomeUnknown_ = outcome == CallOutcome::Unknown;
+  if (outcome == CallOutcome::NotExecuted && awaitingReply()) --messageCount_;
+  if (awaitingReply()) reportSettled(outcome, accepted);
   state_ = DeliveryState::Undelivered;
 }
 
@@ -147,22 +156,21 @@
 }
 
 void UpdateCalls::onConnectionLost() {
-  if (awaitingReply()) return markUndelivered(Execution::Unknown);
-  if (state_ == DeliveryState::Idle && !pending_.empty()) markUndelivered(Execution::NotExecuted);
+  if (awaitingReply()) return markUndelivered(CallOutcome::Unknown, 0);
+  if (state_ == DeliveryState::Idle && !pending_.empty()) markUndelivered(CallOutcome::NotExecuted, 0);
 }
 
 void UpdateCalls::onAcknowledged(int updateId) {
-  const Commands& commands = unconfirmed_.commands;
+  const Commands& commands = inFlight_.commands;
   const bool requested = std::any_of(commands.begin(), commands.end(), [&](const Command& command) {
     return requestedAcknowledgement(command) == updateId;
   });
-  if (requested) onCallConfirmed(unconfirmed_.id);
+  if (requested) onCallConfirmed(inFlight_.id);
 }
 
 // Evidence for an earlier call proves nothing about the call that is undelivered now, so the ids must match.
 void UpdateCalls::onCallConfirmed(CallId call) {
-  const bool isUndelivered = undelivered() && call != 0 && call == inFlight_.id;
-  if (isUndelivered && call == unconfirmed_.id) onUnconfirmedCallExecuted();
+  if (call != 0 && call == unconfirmed()) onUnconfirmedCallExecuted();
 }
 
 void UpdateCalls::onUnconfirmedCallExecuted() {
@@ -170,6 +178,7 @@
   invalidReplies_ = 0;
   if (pending_.empty()) return onCallExecuted();
   reportAccepted(inFlight_.commands.size());  // the remaining commands of the update are still undelivered
+  reportSettled(CallOutcome::Executed, inFlight_.commands.size());
   inFlight_ = Call();
 }
 
--- a/src/relay/update_calls.h
+++ b/src/relay/update_calls.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "peargrade/events.h"
+#include "relay/call_log.h"
 #include "relay/command.h"
 
 namespace peargrade::relay {
@@ -76,11 +77,13 @@
 
   /// The call in flight, or the last call of an undelivered update.
   const Call& inFlight() const { return inFlight_; }
-  /// The last call whose outcome was unknown, until a later update is accepted. Other calls may have been
-  /// sent since.
-  const Call& unconfirmed() const { return unconfirmed_; }
+  /// The call whose unknown outcome holds up the current update; 0: there is none.
+  CallId unconfirmed() const { return undelivered() && isOutcomeUnknown_ ? inFlight_.id : 0; }
   /// Sets the function that is called for each command that the relay has accepted, in order.
   void onAccepted(std::function<void(const Command&)> sink) { acceptedHandler_ = std::move(sink); }
+  /// Sets the function that is called when the outcome of a call is known or will not be known from a reply,
+  /// after the accepted commands of the call.
+  void onSettled(std::function<void(const SettledCall&)> sink) { settledHandler_ = std::move(sink); }
   /// The last command that the relay rejected, or the first command of the last call that it rejected as
   /// invalid.
   const std::string& rejectedCommand() const { return rejectedCommand_; }
@@ -108,15 +111,15 @@
   /// Undelivered -> Delivered (onAcknowledged, onCallConfirmed);
   /// Delivered, Undelivered -> Idle (takeDelivery, addUpdate).
   enum class DeliveryState { Idle, AwaitingReply, Delivered, Undelivered };
-  /// What is known about the execution of the call in flight when its update fails.
-  enum class Execution { NotExecuted, Unknown };
-
   CallResult onAcceptedCount(std::size_t accepted);
   CallResult dropInvalidUpdate();
   void reportAccepted(std::size_t count) const;
+  void reportSettled(CallOutcome outcome, std::size_t accepted) const;
   void onCallExecuted();
+  void completeCall();
   void onUnconfirmedCallExecuted();
-  void markUndelivered(Execution execution);
+  /// Ends the current update. `outcome` and `accepted` are those of the call in flight, if there is one.
+  void markUndelivered(CallOutcome outcome, std::size_t accepted);
   void discardUndelivered();
 
   const std::size_t pendingMax_;
@@ -129,11 +132,13 @@
   int invalidReplies_ = 0;
   std::deque<Command> pending_;
   Call inFlight_;
-  Call unconfirmed_;
+  /// Whether the update is undelivered because of the unknown outcome of `inFlight_`.
+  bool isOutcomeUnknown_ = false;
   std::string rejectedCommand_;
   /// Commands that the relay rejected twice; they are omitted until an update is accepted.
   std::vector<std::string> droppedCommands_;
   std::function<void(const Command&)> acceptedHandler_;
+  std::function<void(const SettledCall&)> settledHandler_;
   Counts counts_;
 };
 
--- a/tests/relay/relay_client_test.cpp
+++ b/tests/relay/relay_client_test.cpp
@@ -221,6 +221,34 @@
   EXPECT_EQ(relay->counts().confirmed, 0u);
 }
 
+// Guards against: a lost call that was not executed counts as executed, because the store shows the effect of
+// an earlier lost call of which it repeats a part.
+TEST_F(RelayClientTest, LostCallIsNotConfirmedByTheEffectOfAnEarlierLostCall) {
+  constexpr std::size_t kLostBefore = 5;  // so that the calls' backoff is far longer than that of the watch
+  fakeRelay.slices = {{5, {{"s", "1"}}}, {6, {{"t", "1"}}}};
+  Limits limits;
+  limits.replayDuration = 0;
+  limits.reconnectDelayMin = 5000;
+  relay = std::make_unique<RelayClient>(loop.base.get(), fakeRelay.address(), names, 100, 1, dispatcher,
+                                        *log.log, limits);
+  ASSERT_TRUE(until([&] { return otherEvents() == 4; }));
+  fakeRelay.faults = std::deque<Fault>(kLostBefore, Fault::BreakBefore);
+  fakeRelay.faults.insert(fakeRelay.faults.end(), {Fault::BreakAfter, Fault::BreakBefore});
+  fakeRelay.onCall = [&](const std::string&) {  // the next call repeats the first removal and adds one
+    if (fakeRelay.calls.size() == kLostBefore + 1)
+      unacceptedActions = {SetRoute{5, "s", 0}, SetRoute{6, "t", 0}, AcknowledgementRequest{2}};
+  };
+  update({SetRoute{5, "s", 0}, AcknowledgementRequest{1}});
+  ASSERT_TRUE(until([&] { return relay->counts().undelivered == kLostBefore + 2; }));
+  EXPECT_FALSE(fakeRelay.slices[6].empty()) << "the second removal was not executed";
+  fakeRelay.breakNews();
+  ASSERT_TRUE(untilWatchCount(2));
+  fakeRelay.life();
+  ASSERT_TRUE(until([&] { return unacceptedActions.empty(); }));
+  EXPECT_TRUE(fakeRelay.slices[6].empty()) << "the second removal was sent again";
+  EXPECT_EQ(relay->counts().confirmed, 0u);
+}
+
 // A relay that vanishes without a reset sends no more heartbeats.
 TEST_F(RelayClientTest, SilentWatchIsReconnected) {
   fakeRelay.lifeSigns = false;
