What updates add to a zone is limited in memory, and one key leaves room for others

Operators saw a process killed at its memory limit, and updates of other clients rejected, while one client with a valid key sent at full speed. Cause: the number of pending and remembered updates was limited, but neither their size nor the growth of the zone, and no key had a part of its own.

Half of memory_mb is now for what updates add: remembered requests, changes that wait for the disk, records beyond those at the start. An update beyond a limit gets SERVFAIL, changes nothing, and the log says which limit. Where several keys have grants, a key uses at most half of what the others leave (FairShare).

RejectsUpdatesBeyondTheLimitOfRememberedRequests gives the grant to one key, to which the limit of 5 belongs; its check is unchanged.

--- a/src/dns_zone/update_processor.cpp
+++ b/src/dns_zone/update_processor.cpp
@@ -7,6 +7,10 @@
 
 constexpr std::size_t kHeaderSize = 12;  // of a message (RFC 1035, section 4.1.1)
 constexpr std::size_t kMaxTickets = 8;   // of one request while it is being written
+// Memory of a record or a change apart from its text: nodes, strings and allocation overhead, in bytes.
+constexpr std::size_t kRecordOverheadBytes = 480;
+constexpr std::size_t kPendingOverheadBytes = 512;
+constexpr std::size_t kPendingRecordOverheadBytes = 128;
 
 std::string replyTo(const Message& request, Rcode rcode) {
   Message reply;
@@ -38,6 +42,30 @@
   return replyTo(request, Rcode::FormErr);
 }
 
+std::size_t keyCount(const std::vector<Grant>& grants) {
+  std::set<std::string> keys;
+  for (const Grant& grant : grants) keys.insert(grant.key);
+  return keys.size();
+}
+
+std::size_t memoryOf(const std::vector<Record>& records) {
+  std::size_t bytes = 0;
+  for (const Record& record : records) bytes += recordMemory(record);
+  return bytes;
+}
+
+std::size_t addedMemory(const Difference& change) {
+  const std::size_t added = memoryOf(change.added);
+  const std::size_t removed = memoryOf(change.removed);
+  return added > removed ? added - removed : 0;
+}
+
+std::size_t removedMemory(const Difference& change) {
+  const std::size_t added = memoryOf(change.added);
+  const std::size_t removed = memoryOf(change.removed);
+  return removed > added ? removed - added : 0;
+}
+
 const char* codeOf(TsigError error) {
   switch (error) {
     case TsigError::BadSig:
@@ -56,16 +84,67 @@
 
 }  // namespace
 
+std::size_t recordMemory(const Record& record) {
+  return kRecordOverheadBytes + 2 * (record.name.size() + record.data.size());
+}
+
+std::size_t pendingMemory(const Difference& change) {
+  std::size_t bytes = kPendingOverheadBytes;
+  for (const auto* records : {&change.removed, &change.added}) {
+    for (const Record& record : *records)
+      bytes += kPendingRecordOverheadBytes + 2 * (record.name.size() + record.data.size());
+  }
+  return bytes;
+}
+
 UpdateProcessor::UpdateProcessor(Zone zone, std::vector<AnsweredRequest> requests,
                                  UpdateProcessorSettings settings)
-    : settings_(std::move(settings)), durable_(zone), zone_(std::move(zone)) {
+    : settings_(std::move(settings)),
+      durable_(zone),
+      zone_(std::move(zone)),
+      rememberedShare_(settings_.remembered, keyCount(settings_.grants)),
+      pendingShare_(settings_.pending, keyCount(settings_.grants)),
+      pendingBytesShare_(settings_.pendingBytes, keyCount(settings_.grants)),
+      growthShare_(settings_.growthBytes, keyCount(settings_.grants)) {
   for (AnsweredRequest& r : requests) {
     const Request request{r.key, r.id, r.mac};
     expiries_.emplace(r.until, request);
+    rememberedShare_.take(r.key, 1);
     remembered_[request] = std::move(r);
   }
 }
 
+const char* UpdateProcessor::exceededLimit(const std::string& key, const Difference& change) const {
+  if (!rememberedShare_.allows(key, 1)) return "limit of remembered updates reached";
+  if (!pendingShare_.allows(key, 1) || !pendingBytesShare_.allows(key, pendingMemory(change)))
+    return "limit of pending updates reached";
+  const std::size_t growth = addedMemory(change);
+  if (growth > 0 && !growthShare_.allows(key, growth)) return "limit of the growth of the zone reached";
+  return nullptr;
+}
+
+void UpdateProcessor::takeShares(const std::string& key, const Difference& change) {
+  rememberedShare_.take(key, 1);
+  pendingShare_.take(key, 1);
+  pendingBytesShare_.take(key, pendingMemory(change));
+  growthShare_.take(key, addedMemory(change));
+  growthShare_.release(key, removedMemory(change));
+}
+
+void UpdateProcessor::releasePending(const Pending& p) {
+  const std::string& key = p.entry.request.key;
+  pendingShare_.release(key, 1);
+  pendingBytesShare_.release(key, pendingMemory(p.entry.change));
+  if (!p.changes) rememberedShare_.release(key, 1);
+}
+
+void UpdateProcessor::releaseReverted(const Pending& p) {
+  const std::string& key = p.entry.request.key;
+  releasePending(p);
+  if (p.changes) rememberedShare_.release(key, 1);
+  growthShare_.release(key, addedMemory(p.entry.change));
+}
+
 bool UpdateProcessor::granted(const std::string& key, const RawRecord& change) const {
   const auto type = typeFromNumber(change.type);
   return std::any_of(settings_.grants.begin(), settings_.grants.end(), [&](const Grant& g) {
@@ -78,7 +157,8 @@
 
 void UpdateProcessor::removeExpired(std::int64_t now) {
   while (!expiries_.empty() && expiries_.begin()->first < now) {
-    remembered_.erase(expiries_.begin()->second);
+    if (remembered_.erase(expiries_.begin()->second) > 0)
+      rememberedShare_.release(std::get<0>(expiries_.begin()->second), 1);
     expiries_.erase(expiries_.begin());
   }
 }
@@ -176,11 +256,15 @@
     if (within(change.name, zone_.origin()) && !granted(checked.key, change))
       return refuse(Rcode::Refused, "not-granted", "key " + checked.key + " may not change " + change.name);
   }
-  // A request that cannot be remembered could be applied twice, so it is rejected.
-  if (remembered_.size() + open_.size() + batch_.size() >= settings_.remembered ||
-      open_.size() >= settings_.pending)
-    return refuse(Rcode::ServFail, "crowded", "limit of pending or remembered updates reached");
+  // A request that cannot be remembered could be applied twice, so it is rejected. Checked before the update
+  // is applied, so that a key beyond its limits costs little.
+  if (const char* const limit = exceededLimit(checked.key, {}))
+    return refuse(Rcode::ServFail, "crowded", limit);
   const UpdateResult applied = apply(zone_, m);
+  if (const char* const limit = exceededLimit(checked.key, applied.change)) {
+    undo(zone_, applied.change);
+    return refuse(Rcode::ServFail, "crowded", limit);
+  }
   taken.rcode = applied.rcode;
   taken.code = applied.rcode == Rcode::NoError ? "accepted" : "refused";
   taken.why = applied.why;
@@ -200,6 +284,7 @@
                      now};
   p.reply = replyTo(m, applied.rcode);
   p.changes = changes;
+  takeShares(checked.key, applied.change);
   taken.answered = false;
   taken.ticket = next_++;
   p.tickets.emplace_back(taken.ticket, m.id);
@@ -232,7 +317,10 @@
       for (auto p = queue->rbegin(); p != queue->rend(); ++p) undo(zone_, p->entry.change);
     }
     for (auto* queue : {&batch_, &open_}) {
-      for (const Pending& p : *queue) addAnswers(p, Rcode::ServFail);
+      for (const Pending& p : *queue) {
+        releaseReverted(p);
+        addAnswers(p, Rcode::ServFail);
+      }
       queue->clear();
     }
     return answers;
@@ -241,6 +329,7 @@
     redo(durable_, p.entry.change);
     if (p.changes) lastChanges_.push_back(p.entry.change);
     addAnswers(p, p.entry.request.rcode);
+    releasePending(p);
     if (!p.changes) continue;
     const Request request{p.entry.request.key, p.entry.request.id, p.entry.request.mac};
     expiries_.emplace(p.entry.request.until, request);
--- a/src/dns_zone/update_processor.h
+++ b/src/dns_zone/update_processor.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "dns_zone/fair_share.h"
 #include "dns_zone/snapshot.h"
 #include "dns_zone/tsig.h"
 #include "dns_zone/update.h"
@@ -22,13 +23,21 @@
   std::set<Type> types;  // empty: all
 };
 
-/// Grants and limits.
+/// Grants and limits. Each limit holds for all keys together; where several keys have grants, one key may use
+/// at most half of what the others leave.
 struct UpdateProcessorSettings {
   std::vector<Grant> grants;
   std::size_t remembered = 100000;  // answered requests kept; new ones are rejected at the limit
   std::size_t pending = 4096;       // accepted but not on disk yet
+  std::size_t pendingBytes = std::size_t{24} << 20;  // memory of the pending changes
+  std::size_t growthBytes = std::size_t{24} << 20;   // memory of the records that updates add to the zone
 };
 
+/// Memory of a change that is not on disk yet, and of one record in the zone, which is kept twice: with and
+/// without the changes that are not on disk. Estimates in bytes.
+std::size_t pendingMemory(const Difference& change);
+std::size_t recordMemory(const Record& record);
+
 /// Processes the updates of one zone. Times in Unix seconds unless they are Micros.
 class UpdateProcessor {
  public:
@@ -86,6 +95,13 @@
                                        const Keys& keys, std::int64_t now);
   bool granted(const std::string& key, const RawRecord& change) const;
   void removeExpired(std::int64_t now);
+  /// Why the limits do not permit a change by a key; nullptr if they do.
+  const char* exceededLimit(const std::string& key, const Difference& change) const;
+  void takeShares(const std::string& key, const Difference& change);
+  /// Releases what a change uses only until it is on disk.
+  void releasePending(const Pending& p);
+  /// Releases all that a change uses, when it is reverted.
+  void releaseReverted(const Pending& p);
   std::string signedReply(const Pending& p, Rcode rcode, const Keys& keys, std::int64_t now) const;
 
   UpdateProcessorSettings settings_;
@@ -98,6 +114,12 @@
   std::vector<Difference> lastChanges_;
   bool writing_ = false;
   Ticket next_ = 1;
+
+  // What each key uses of the limits.
+  FairShare rememberedShare_;
+  FairShare pendingShare_;
+  FairShare pendingBytesShare_;
+  FairShare growthShare_;
 };
 
 }  // namespace peargrade::dns_zone
--- a/src/sources/source_registry.h
+++ b/src/sources/source_registry.h
@@ -31,6 +31,8 @@
   log::Log* log = nullptr;
   /// Unix time in microseconds, without jumps.
   std::function<Micros()> clock;
+  /// Memory that updates may use in all zones together, in bytes.
+  std::size_t zoneMemory = std::size_t{96} << 20;
 };
 
 /// The sources of a running supervisor. Posts the merged list of servers to the dispatcher.
--- a/src/sources/sources.cpp
+++ b/src/sources/sources.cpp
@@ -59,8 +59,13 @@
     labels_.push_back("srv " + srv.label);
   }
   if (!dependencies_.op->zones.empty()) worker_ = std::make_unique<zone_server::Worker>(dependencies_.base);
-  const zone_server::Context zoneContext{dependencies_.base, dependencies_.names, dependencies_.log,
-                                         dependencies_.clock, dependencies_.op->merge.firstResponseIsWarm};
+  const std::size_t zoneCount = std::max<std::size_t>(1, dependencies_.op->zones.size());
+  const zone_server::Context zoneContext{dependencies_.base,
+                                         dependencies_.names,
+                                         dependencies_.log,
+                                         dependencies_.clock,
+                                         dependencies_.op->merge.firstResponseIsWarm,
+                                         dependencies_.zoneMemory / zoneCount};
   for (const op::Zone& zone : dependencies_.op->zones) {
     zones_.emplace_back(zoneContext, zone, sourceIndex++, *worker_,
                         [this](const membership::Observation& observation) { observe(observation); });
--- a/src/supervisor/supervisor_instance.cpp
+++ b/src/supervisor/supervisor_instance.cpp
@@ -86,8 +86,9 @@
 // merged list.
 void SupervisorInstance::openSources(event_base* base, const op::Operator* op,
                                      const MakeSources& makeSources) {
-  sources_ = makeSources({base, op, &config_.names, &config_.cachedList, &config_.cachedAddresses,
-                          &dispatcher_, &log_, [this] { return clock_.now(); }});
+  sources_ =
+      makeSources({base, op, &config_.names, &config_.cachedList, &config_.cachedAddresses, &dispatcher_,
+                   &log_, [this] { return clock_.now(); }, MemoryBudget(config_.limits.memoryMb).zones});
   if (!discovery_) return;
   discovery_->setListener(
       [this](const EndpointListUpdate& update, const std::vector<std::string>& endpoints) {
--- a/src/zone_server/context.h
+++ b/src/zone_server/context.h
@@ -19,6 +19,8 @@
   std::function<Micros()> clock;  // Unix time in microseconds; monotonic
   /// Servers in the first observation count as warm (operator setting `first-answer-warm`).
   bool firstAnswerWarm = false;
+  /// Memory that updates may use in one zone, in bytes.
+  std::size_t updateMemory = std::size_t{96} << 20;
 };
 
 }  // namespace peargrade::zone_server
--- a/src/zone_server/zone_source.cpp
+++ b/src/zone_server/zone_source.cpp
@@ -1,6 +1,14 @@
 #include "zone_server/zone_source.h"
 
+#include <algorithm>
+
 namespace peargrade::zone_server {
+namespace {
+
+// Memory of one remembered request: its key, id and signature, each kept three times. An estimate in bytes.
+constexpr std::size_t kRememberedRequestBytes = 512;
+
+}  // namespace
 
 ZoneSource::ZoneSource(const Context& context, const op::Zone& zone, std::size_t sourceIndex, Worker& worker,
                        Observe observe)
@@ -22,8 +30,11 @@
 
 dns_zone::UpdateProcessorSettings ZoneSource::processorSettings() const {
   dns_zone::UpdateProcessorSettings result;
-  result.remembered = zone_.remembered;
+  // Half of the memory is for remembered requests, a quarter each for pending changes and new records.
+  result.remembered = std::min(zone_.remembered, context_.updateMemory / 2 / kRememberedRequestBytes);
   result.pending = zone_.pending;
+  result.pendingBytes = context_.updateMemory / 4;
+  result.growthBytes = context_.updateMemory / 4;
   for (const op::Grant& g : zone_.grants) {
     dns_zone::Grant grant{g.key, g.name, {}};
     for (const std::string& type : g.types) {
--- a/tests/dns_zone/update_test.cpp
+++ b/tests/dns_zone/update_test.cpp
@@ -486,8 +486,74 @@
       << "responses are not answered";
 }
 
+// Guards against: one key adds records under ever new names until the process exceeds its memory limit.
+TEST_F(UpdateProcessorTest, LimitsTheRecordsThatUpdatesAdd) {
+  settings.growthBytes = 20 * recordMemory({kNew, Type::A, 60, "1234"});
+  start(zone());
+  const std::size_t before = processor->zone().records();
+  int accepted = 0;
+  for (int k = 0; k < 40; ++k) {
+    const auto taken = processor->take(
+        request(UpdateBuilder().add(kNew, Type::A, a("10.1.1." + std::to_string(k))), key), keys, kNow);
+    accepted += taken.code == "accepted" ? 1 : 0;
+    EXPECT_EQ(taken.rcode, k < 10 ? Rcode::NoError : Rcode::ServFail) << k;
+    processor->begin();
+    processor->settled(true, keys, kNow);
+  }
+  EXPECT_EQ(accepted, 10);
+  EXPECT_EQ(processor->zone().records(), before + 10);
+  EXPECT_EQ(processor->zone(), processor->durable()) << "a rejected update leaves nothing behind";
+  const auto removal = processor->take(request(UpdateBuilder().change(kNew, 1, 255), key), keys, kNow);
+  EXPECT_EQ(removal.code, "accepted") << "removing records is possible at the limit";
+  const auto again =
+      processor->take(request(UpdateBuilder().add(kNew, Type::A, a("10.1.2.1")), key), keys, kNow);
+  EXPECT_EQ(again.code, "accepted") << "the removal has made room";
+}
+
+// Guards against: large updates that wait for the disk exceed the memory limit together.
+TEST_F(UpdateProcessorTest, LimitsTheMemoryOfPendingChanges) {
+  settings.grants.resize(1);
+  settings.pendingBytes = 5 * pendingMemory({{}, {{kNew, Type::A, 60, "1234"}}}) + 4000;
+  start(zone());
+  int accepted = 0;
+  for (int k = 0; k < 100; ++k) {
+    const auto taken = processor->take(
+        request(UpdateBuilder().add(kNew, Type::A, a("10.1.1." + std::to_string(k))), key), keys, kNow);
+    accepted += taken.code == "accepted" ? 1 : 0;
+  }
+  EXPECT_GE(accepted, 5);
+  EXPECT_LE(accepted, 11);
+  processor->begin();
+  processor->settled(true, keys, kNow);
+  EXPECT_EQ(processor->take(request(UpdateBuilder().add(kNew, Type::A, a("10.1.3.1")), key), keys, kNow).code,
+            "accepted");
+}
+
+// Guards against: a key that sends at full speed uses up a limit, so that the updates of other keys are
+// rejected.
+TEST(FairShareTest, OneClientLeavesRoomForTheOthers) {
+  FairShare share(100, 3);
+  const auto fill = [&](const std::string& client) {
+    std::size_t taken = 0;
+    while (share.allows(client, 1)) {
+      share.take(client, 1);
+      ++taken;
+    }
+    return taken;
+  };
+  EXPECT_EQ(fill("a"), 50u);
+  EXPECT_EQ(fill("b"), 25u);
+  EXPECT_EQ(fill("c"), 12u);
+  share.release("a", 50);
+  EXPECT_EQ(fill("d"), 31u);
+  FairShare single(100, 1);
+  EXPECT_TRUE(single.allows("a", 100));
+  EXPECT_FALSE(single.allows("a", 101));
+}
+
 TEST_F(UpdateProcessorTest, RejectsUpdatesBeyondTheLimitOfRememberedRequests) {
   settings.remembered = 5;
+  settings.grants.resize(1);  // the limit belongs to one key
   start(zone());
   for (int k = 0; k < 8; ++k) {
     const auto taken = processor->take(
