--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,6 +1,7 @@
 #include "net/listener.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 
 #include <cerrno>
 #include <cstring>
@@ -59,11 +60,30 @@
   listener->pauseAfterError_.schedule(kPauseAfterError);
 }
 
+void Listener::setAccepting(bool accepting) {
+  accepting_ = accepting;
+  if (!accepting)
+    evconnlistener_disable(listener_.get());
+  else if (!pauseAfterError_.isScheduled())
+    resume();
+}
+
+bool Listener::hasWaitingConnection() const {
+  pollfd state{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
+  return poll(&state, 1, 0) > 0;
+}
+
+void Listener::limitReceiveBuffer(int bytes) {
+  setsockopt(evconnlistener_get_fd(listener_.get()), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 void Listener::startTurn() {
   acceptedThisTurn_ = 0;
   if (!pauseAfterError_.isScheduled()) resume();
 }
 
-void Listener::resume() { evconnlistener_enable(listener_.get()); }
+void Listener::resume() {
+  if (accepting_) evconnlistener_enable(listener_.get());
+}
 
 }  // namespace peargrade::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -27,6 +27,14 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  /// Stops or continues to accept connections. While stopped, the kernel queues them.
+  void setAccepting(bool accepting);
+  /// Whether a connection waits to be accepted. Costs one system call.
+  bool hasWaitingConnection() const;
+  /// Limits the bytes that the kernel receives ahead of the program on each connection accepted from now on.
+  /// The kernel may double the value.
+  void limitReceiveBuffer(int bytes);
+
   /// The address that the socket listens on, with the actual port.
   const Address& address() const { return address_; }
 
@@ -40,6 +48,7 @@
   std::size_t acceptsPerTurn_;
   Handlers handlers_;
   std::size_t acceptedThisTurn_ = 0;
+  bool accepting_ = true;
   ListenerHandle listener_;
   Timer nextTurn_;
   Timer pauseAfterError_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,7 @@
 #include "net/stream.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -69,6 +70,15 @@
   return isEmpty ? Waiting::Nothing : Waiting::End;
 }
 
+void Stream::pauseReading() { bufferevent_disable(buffer_.get(), EV_READ); }
+
+void Stream::resumeReading() { bufferevent_enable(buffer_.get(), EV_READ); }
+
+bool Stream::peerHasClosed() const {
+  pollfd state{bufferevent_getfd(buffer_.get()), POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 std::size_t Stream::unsent() const { return evbuffer_get_length(bufferevent_get_output(buffer_.get())); }
 
 // The local copy of the shared pointer keeps the handlers alive if a callback destroys the Stream.
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -50,6 +50,13 @@
   /// Checks the receive buffer without reading from it. Costs one system call.
   Waiting waiting() const;
 
+  /// Stops or continues to read. While reading is stopped, the kernel's buffers limit what the peer can send.
+  void pauseReading();
+  void resumeReading();
+  /// Whether the peer has closed its sending half or the connection was reset, although unread bytes may be
+  /// left. Costs one system call.
+  bool peerHasClosed() const;
+
   /// Replaces the handlers. A handler that is running stays alive until it returns.
   void setHandlers(Handlers handlers) { handlers_ = std::make_shared<Handlers>(std::move(handlers)); }
 
