The relay's watch is limited in routes of a slice and in events posted together

Cause: the view of the store and the engine kept every reported route, whatever the number of servers, and a batch of events had a limit in time only. A watch that reports more than 1,024 routes of a slice is now closed with code bad-message and the reason; events are posted once there are 8,192.

RelayClientTest.WatchWithTooManyRoutesOfASliceIsEnded guards the limit; without it the watch stays.

--- a/src/relay/event_batch.h
+++ b/src/relay/event_batch.h
@@ -16,8 +16,9 @@
 class EventBatch {
  public:
   /// Events are posted once none has been added for `delay` microseconds, and at the latest `delayMax`
-  /// microseconds after the first one was added.
-  EventBatch(event_base* base, Micros delay, Micros delayMax, dispatch::Dispatcher& dispatcher);
+  /// microseconds after the first one was added, or once there are `eventsMax`.
+  EventBatch(event_base* base, Micros delay, Micros delayMax, std::size_t eventsMax,
+             dispatch::Dispatcher& dispatcher);
 
   /// Adds the events of one line. Posts the batch at once if it is complete and no earlier line awaits
   /// others.
@@ -28,6 +29,7 @@
  private:
   const Micros delay_;
   const Micros delayMax_;
+  const std::size_t eventsMax_;
   dispatch::Dispatcher& dispatcher_;
   std::vector<Event> events_;
   /// When the first of `events_` was added, by net::steadyNow().
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -30,6 +30,10 @@
   Micros replayDuration = 300000;
   /// Longest line accepted from the relay, in bytes.
   std::size_t lineBytesMax = 4096;
+  /// Limit of the stored routes of one slice. A watch that reports more is closed.
+  std::size_t routesPerSliceMax = 1024;
+  /// Events of the watch that are posted together at most.
+  std::size_t batchEventsMax = 8192;
   /// Limit of pending commands; beyond it the oldest are discarded.
   std::size_t pendingCommandsMax = 50000;
 };
--- a/src/relay/relay_client.cpp
+++ b/src/relay/relay_client.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "errors/parse_error.h"
+#include "wire/fields.h"
 
 namespace peargrade::relay {
 namespace {
@@ -27,7 +28,7 @@
       limits_(limits),
       dispatcher_(dispatcher),
       log_(log),
-      batch_(base, limits.batchDelay, limits.batchDelayMax, dispatcher),
+      batch_(base, limits.batchDelay, limits.batchDelayMax, limits.batchEventsMax, dispatcher),
       calls_(base, address, limits, seed + 1, dispatcher, log,
              {[this](const Call& call) { onCallSent(call); },
               [this](const Command& command) { view_.onCommandAccepted(command); },
@@ -124,6 +125,10 @@
     calls_.onAcknowledged(acknowledged->updateId);
   std::vector<Event> events;
   view_.apply(event, events);
+  const auto* route = std::get_if<StoredRoute>(&event);
+  if (route != nullptr && view_.routeCount(route->slice) > limits_.routesPerSliceMax)
+    wire::fail("watch event", "more than " + std::to_string(limits_.routesPerSliceMax) + " routes of slice " +
+                                  std::to_string(route->slice));
   const bool heartbeat = std::holds_alternative<Heartbeat>(event);
   if (heartbeat && view_.replaying() && watch_.openFor() > limits_.replayDuration) {
     view_.endReplay(events);
--- a/src/relay/store_view.cpp
+++ b/src/relay/store_view.cpp
@@ -125,6 +125,13 @@
   if (isConnected(event.proxy)) events.push_back(event);
 }
 
+std::size_t StoreView::routeCount(TableId slice) const {
+  const auto replayed = replay_.replayedTables.find(slice);
+  if (replayed != replay_.replayedTables.end()) return replayed->second.size();
+  const auto table = tables_.find(slice);
+  return table == tables_.end() ? 0 : table->second.size();
+}
+
 std::size_t StoreView::recordCount() const {
   std::size_t count = proxies_.size() + awaitingRoutes_.size() + replay_.proxiesNotReplayed.size() +
                       replay_.slicesNotReplayed.size() + replay_.replayedTables.size() +
--- a/src/relay/store_view.h
+++ b/src/relay/store_view.h
@@ -37,6 +37,8 @@
   /// outside a replay.
   void endReplay(std::vector<Event>& events);
 
+  /// Number of routes that the store has for a slice, as reported so far.
+  std::size_t routeCount(TableId slice) const;
   /// Number of assigned slices whose routes may not all have been reported yet.
   std::size_t slicesAwaitingRoutes() const { return awaitingRoutes_.size(); }
   bool replaying() const { return replaying_; }
--- a/tests/relay/relay_client_test.cpp
+++ b/tests/relay/relay_client_test.cpp
@@ -288,6 +288,22 @@
   EXPECT_TRUE(log.has("watch ended code=too-long"));
 }
 
+// Guards against: a watch that reports routes to ever new servers fills the memory and delays the engine.
+TEST_F(RelayClientTest, WatchWithTooManyRoutesOfASliceIsEnded) {
+  fakeRelay.slices[5] = {{"s", "1"}};
+  start();
+  ASSERT_TRUE(until([&] { return otherEvents() == 2; }));
+  std::string lines;
+  for (int k = 0; k < 1023; ++k) lines += "* entry 5 x" + std::to_string(k) + " 0.1\r\n";
+  fakeRelay.raw(lines);
+  ASSERT_TRUE(until([&] { return seen.all<StoredRoute>().size() == 1024; }));
+  EXPECT_EQ(fakeRelay.watches, 1) << "as many as the limit";
+  fakeRelay.raw("* entry 5 y 0.1\r\n");
+  ASSERT_TRUE(untilWatchCount(2));
+  EXPECT_TRUE(log.has("watch ended code=bad-message"));
+  EXPECT_TRUE(log.has("more than 1024 routes of slice 5"));
+}
+
 TEST_F(RelayClientTest, SingleInvalidReplyLosesNothingAndRepeatedOnesDoNotBlockLaterUpdates) {
   fakeRelay.faults = {Fault::Invalid};
   start();
