--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -52,6 +52,14 @@
     return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
   }
   void signal(int number) { kill(pid_, number); }
+  /// Highest resident memory of the process so far, in bytes; 0 if it has ended.
+  std::size_t peakMemory() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.compare(0, 6, "VmHWM:") == 0) return std::stoul(line.substr(6)) << 10;
+    }
+    return 0;
+  }
   pid_t pid() const { return pid_; }
   /// Sends SIGSTOP and waits until the process has stopped. SIGCONT resumes it.
   void stop() {
