play_net: a run past its time limit ends with its child processes, after their grace time

Cause: terminate() waited for the leader of the process group only. When the leader had exited on SIGTERM, SIGKILL followed at once, and terminate() returned while the kernel still ended the child.

Change: netplay/process_group.py reads the group's running processes from /proc. Children have the whole grace time, and terminate() returns once none runs. The check in runner_test stays as it is.

--- a/tools/netplay/runner.py
+++ b/tools/netplay/runner.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import json
-import os
 import queue
 import shutil
-import signal
 import subprocess
 import threading
 import time
@@ -16,9 +14,7 @@
 
 from . import copies
 from .outcome import Outcome, Run, not_run, read_outcome
-
-STOP_GRACE_S = 5.0
-"""How long a bench may take to exit after SIGTERM before it is killed."""
+from .process_group import terminate
 
 
 @dataclass(frozen=True)
@@ -45,20 +41,6 @@
     return words + ["--no-build", "--json", str(result), "--logs", str(logs), "--why", settings.why]
 
 
-def terminate(process: subprocess.Popen[bytes]) -> None:
-    """Terminates a bench with its child processes: exactly the process group of the bench."""
-    for signal_number in (signal.SIGTERM, signal.SIGKILL):
-        try:
-            os.killpg(process.pid, signal_number)
-        except ProcessLookupError:
-            break
-        try:
-            process.wait(STOP_GRACE_S)
-        except subprocess.TimeoutExpired:
-            continue
-    process.wait()
-
-
 def wait_until_done(process: subprocess.Popen[bytes], limit_s: float, stop: threading.Event) -> Optional[str]:
     """Waits for the bench to exit. After the time limit, or if the batch is stopped, terminates it and returns the reason."""
     deadline = time.monotonic() + limit_s
