A slice given back while an update of it is on its way keeps a server and its drains

Cause: the relay writes the lines of a slice and then executes an update that was sent before; the two cross each other. The engine took the lines for the whole table and ignored updates older than the assignment, of known and of unknown outcome.

Change: RecentUpdates keeps the changes of tables for 3 s. A slice that is assigned within that time begins with them in the state of unknown delivery, so that they are published again as the engine wants them by then. A single-owner table none of whose routes is known is cleared and handed over first. One log line names the slice and the number of changes.

The log line about a late owner names its second reason too.

--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -115,7 +115,7 @@
   if (!event.assigned) return;
   decision::SliceState slice(clock_.now(), settings_.classes.size());
   slice.storedRoutes = event.routes;
-  updates_.recordAssignment(slice);
+  updates_.recordAssignment(event.slice, slice, servers_);
   slices_.emplace(event.slice, std::move(slice));
 }
 
@@ -133,11 +133,11 @@
   }
   if (!updates_.recordStoredRoute(slice, event)) {
     actions_.log("stored owner " + event.server + " of slice " + std::to_string(event.slice) +
-                 " was reported after " + slice.primary + " was chosen: both are removed first");
+                 " may not be its only one: all are removed first");
     return;
   }
   slice.desired[event.server] = event.weight;
-  slice.published.insert_or_assign(event.server, decision::PublishedRoute::delivered(event.weight));
+  slice.recordStored(event.server, event.weight);
   const double primaryWeight = slice.primary.empty() ? 0 : slice.desired[slice.primary];
   const bool isHeavier = event.weight > primaryWeight;
   if (!isHeavier && (event.weight != primaryWeight || servers_[slice.primary].isReady())) return;
--- a/src/decision/slice_handover.cpp
+++ b/src/decision/slice_handover.cpp
@@ -8,9 +8,9 @@
 
 std::vector<Action> SliceHandover::nextRoutes(TableId table, const SliceState& slice) const {
   if (!settings_.hasSingleOwnerSlices() || slice.awaitsStoredRoutes() || slice.isPublished()) return {};
-  if (!slice.published.empty() && !hasDesiredOwnerOnly(slice)) return removals(table, slice);
   const Handover& handover = slice.handover;
-  if (slice.published.empty() && handover.removalUpdateId < 0) return {ClearTable{table}};
+  if (!hasKnownOwner(slice) && handover.removalUpdateId < 0) return {ClearTable{table}};
+  if (!slice.published.empty() && !hasDesiredOwnerOnly(slice)) return removals(table, slice);
   const bool isAcknowledged =
       handover.unacknowledgedBy.empty() ||
       (handover.acknowledgementsDueAt && clock_.now() >= *handover.acknowledgementsDueAt);
@@ -18,6 +18,11 @@
   return canSetNewOwner ? slice.changedRoutes(table) : std::vector<Action>{};
 }
 
+bool SliceHandover::hasKnownOwner(const SliceState& slice) {
+  return std::any_of(slice.published.begin(), slice.published.end(),
+                     [](const auto& entry) { return entry.second.isDelivered(); });
+}
+
 bool SliceHandover::hasDesiredOwnerOnly(const SliceState& slice) {
   return slice.published.size() == 1 && slice.desired.size() == 1 &&
          slice.published.begin()->first == slice.desired.begin()->first;
@@ -30,20 +35,23 @@
 }
 
 // A stored route that arrives after another owner was chosen ends the choice as long as nothing was published
-// for it. Later the proxies may hold either owner: both are removed before one is set again.
+// for it. Later, or if an update set another owner shortly before the assignment, the proxies may hold either
+// owner: both are removed before one is set again.
 bool SliceHandover::recordStoredOwner(SliceState& slice, const ServerId& server, double weight) const {
   if (!settings_.hasSingleOwnerSlices()) return true;
   slice.storedRoutes = StoredRoutes::Complete;
   const bool isOnlyOwner =
       slice.handover.removalUpdateId < 0 &&
       (slice.published.empty() || slice.published.count(server) == slice.published.size());
-  slice.published.insert_or_assign(
-      server, isOnlyOwner ? PublishedRoute::delivered(weight) : PublishedRoute::unknownDelivery());
-  if (!isOnlyOwner) return false;
+  if (isOnlyOwner) {
+    slice.recordStored(server, weight);
+    return true;
+  }
+  slice.published.insert_or_assign(server, PublishedRoute::unknownDelivery());
   slice.desired.clear();
   slice.primary.clear();
   slice.hasUnpublishedEvacuation = false;
-  return true;
+  return false;
 }
 
 void SliceHandover::beginHandover(SliceState& slice, std::set<ProxyId> proxies, int updateId) const {
--- a/src/decision/slice_handover.h
+++ b/src/decision/slice_handover.h
@@ -51,6 +51,8 @@
   [[nodiscard]] std::size_t leaseCount() const;
 
  private:
+  /// Whether the delivery of any published route is known.
+  [[nodiscard]] static bool hasKnownOwner(const SliceState& slice);
   /// Whether the only published route is that of the desired owner.
   [[nodiscard]] static bool hasDesiredOwnerOnly(const SliceState& slice);
   /// The removals of all published routes.
--- a/src/decision/slice_state.cpp
+++ b/src/decision/slice_state.cpp
@@ -61,6 +61,12 @@
   uncertainRatios &= ~admission.classMask;
 }
 
+void SliceState::recordStored(const ServerId& server, double weight) {
+  const auto route = published.find(server);
+  const bool mayHaveChanged = route != published.end() && !route->second.isDelivered();
+  if (!mayHaveChanged) published.insert_or_assign(server, PublishedRoute::delivered(weight));
+}
+
 void SliceState::markUncertain(const Action& action) {
   if (const auto* route = std::get_if<SetRoute>(&action))
     published.insert_or_assign(route->server, PublishedRoute::unknownDelivery());
--- a/src/decision/slice_state.h
+++ b/src/decision/slice_state.h
@@ -97,6 +97,9 @@
   void publish(const SetRoute& route);
   void publish(const ClearTable& clear);
   void publish(const SetAdmission& admission);
+  /// Records a route that the store reports. If an update may have changed it since, its delivery stays
+  /// unknown.
+  void recordStored(const ServerId& server, double weight);
   /// Records that the delivery of a published action is unknown.
   void markUncertain(const Action& action);
 };
--- a/src/decision/update_scheduler.cpp
+++ b/src/decision/update_scheduler.cpp
@@ -30,6 +30,7 @@
       routes_(sources.ejections),
       handover_(settings, clock),
       applied_(clock),
+      recent_(clock),
       ejections_(clock, applied_, actions) {
   publishedAdmission_.ratios.assign(settings.classes.size(), 1);
 }
@@ -49,6 +50,16 @@
   handover_.recordDisconnection(slices, proxy);
 }
 
+void UpdateScheduler::recordAssignment(TableId table, SliceState& slice, ServerMap& servers) const {
+  handover_.recordAssignment(slice);
+  const std::vector<Action> changes = recent_.changesOf(table);
+  for (const Action& change : changes) markUncertain(change, servers, slice);
+  if (changes.empty()) return;
+  actions_.log("slice " + std::to_string(table) + " was assigned within " +
+               std::to_string(RecentUpdates::kReportLagMax / kSecond) + " s of " +
+               std::to_string(changes.size()) + " changes of it: they are published again");
+}
+
 void UpdateScheduler::recordAcknowledgement(const UpdateAcknowledged& event, SliceMap& slices) {
   if (!channel_.acknowledge(event.proxy, event.updateId)) return;
   applied_.acknowledge(event.proxy, static_cast<UpdateNumber>(channel_.updatesSince(event.updateId)));
@@ -72,8 +83,7 @@
   ejections_.recordConnection();
 }
 
-// The state of a slice that was assigned after the update was sent comes from the store, so the update does
-// not make it uncertain.
+// For a slice that was assigned after the update was sent, recordAssignment has done so.
 void UpdateScheduler::markUncertain(const Action& action, ServerMap& servers, SliceMap& slices) {
   if (const auto* ejection = std::get_if<SetEjection>(&action))
     servers[ejection->server].ejection.markUnconfirmed();
@@ -82,7 +92,12 @@
     publishedAdmission_.isCurrent = false;
   const auto it = slices.find(table);
   if (it == slices.end() || it->second.assignedAt > budget_.lastSentAt()) return;
-  it->second.markUncertain(action);
+  markUncertain(action, servers, it->second);
+}
+
+void UpdateScheduler::markUncertain(const Action& action, ServerMap& servers, SliceState& slice) {
+  if (const auto* route = std::get_if<SetRoute>(&action)) servers.try_emplace(route->server);
+  slice.markUncertain(action);
 }
 
 void UpdateScheduler::changeSettings(const Settings& oldSettings, const Settings& newSettings) {
@@ -115,6 +130,7 @@
   const double routes = budget_.messageOverhead() + static_cast<double>(update.size());
   const int updateId = budget_.send(routes);
   applied_.recordSent();
+  recent_.record(update);
   update.emplace_back(
       AcknowledgementRequest{updateId, isAcknowledgementRequestOnly || settings_.hasSingleOwnerSlices()});
   for (const Action& action : update) actions_.add(action);
--- a/src/decision/update_scheduler.h
+++ b/src/decision/update_scheduler.h
@@ -12,6 +12,7 @@
 #include "decision/ejection_planner.h"
 #include "decision/ejection_repeater.h"
 #include "decision/load_estimator.h"
+#include "decision/recent_updates.h"
 #include "decision/route_planner.h"
 #include "decision/server_state.h"
 #include "decision/slice_handover.h"
@@ -45,7 +46,9 @@
   // ---- Events ----
   void connectProxy(const ProxyConnected& event, SliceMap& slices);
   void disconnectProxy(ProxyId proxy, SliceMap& slices);
-  void recordAssignment(SliceState& slice) const { handover_.recordAssignment(slice); }
+  /// Records that a slice was assigned. Its changes in updates that were sent shortly before have an unknown
+  /// delivery: the stored routes that follow may be those from before them.
+  void recordAssignment(TableId table, SliceState& slice, ServerMap& servers) const;
   /// Returns whether the stored route becomes a desired one; see SliceHandover::recordStoredOwner.
   [[nodiscard]] bool recordStoredRoute(SliceState& slice, const StoredRoute& route) const {
     return handover_.recordStoredOwner(slice, route.server, route.weight);
@@ -105,6 +108,7 @@
   void publish(const SetAdmission& admission, SliceMap& slices);
   /// Records that the delivery of a published action is unknown.
   void markUncertain(const Action& action, ServerMap& servers, SliceMap& slices);
+  static void markUncertain(const Action& action, ServerMap& servers, SliceState& slice);
   [[nodiscard]] RetryPolicy retryPolicy(std::size_t requestClass) const;
 
   const Settings& settings_;
@@ -117,6 +121,7 @@
   SliceHandover handover_;
   DeliveryTracker delivery_;
   AppliedUpdates applied_;
+  RecentUpdates recent_;
   EjectionRepeater ejections_;
   PublishedAdmission publishedAdmission_;
 };
--- a/tests/decision/behaviour_test.cpp
+++ b/tests/decision/behaviour_test.cpp
@@ -24,7 +24,7 @@
       {"SharedSlices", {0x6e3e25b929f3d2d2ULL, 0xd51d582399f2157cULL}},
       {"PolledAdvisoryList", {0x03664ca96a1beba0ULL, 0x0017ea6bd411629cULL}},
       {"SingleOwnerSlices", {0xda52ac78b49dbc58ULL, 0x1635d37a6adb685aULL}},
-      {"HealthChecks", {0x7be30b1e5a1ef314ULL, 0xfdb581d0492d71a0ULL}},
+      {"HealthChecks", {0x7be30b1e5a1ef314ULL, 0x9ab81eda429171f8ULL}},
       {"LittleTraffic", {0xa0ff49f999a16aa2ULL, 0xaaa51836a92ef6d0ULL}},
       {"ErraticReports", {0x270b929ee6c043a6ULL, 0xfcbf91d36454b045ULL}},
       {"ProxyTables", {0xf370bb6df3ad9ee8ULL, 0xdfa39984dbfd6e46ULL}},
