Servers are checked for departure before the tables are searched for their use

Cause: it collected the use of all servers in each decision, also when no server had departed for long enough.

Change: it returns at once if none has. The condition stands once, with a name.

--- a/src/decision/route_usage.cpp
+++ b/src/decision/route_usage.cpp
@@ -1,8 +1,16 @@
 #include "decision/route_usage.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace peargrade::decision {
+namespace {
+
+bool hasDeparted(const ServerState& server, Micros departedBefore) {
+  return !server.isReady() && server.departedAt > 0 && server.departedAt < departedBefore;
+}
+
+}  // namespace
 
 RouteUsage routeUsage(const SliceMap& slices, const std::function<bool(const ServerId&)>& isRoutable) {
   RouteUsage usage;
@@ -23,15 +31,19 @@
 
 void forgetDepartedServers(ServerMap& servers, const SliceMap& slices, Micros departedBefore,
                            std::optional<UpdateNumber> appliedByDisconnected) {
+  const bool anyDeparted = std::any_of(servers.begin(), servers.end(), [&](const auto& entry) {
+    return hasDeparted(entry.second, departedBefore);
+  });
+  if (!anyDeparted) return;
   const RouteUsage usage = routeUsage(slices, [](const ServerId&) { return true; });
   for (auto it = servers.begin(); it != servers.end();) {
     const auto& [id, server] = *it;
     const bool isUsed = usage.published.count(id) + usage.desired.count(id) > 0;
-    const bool hasDeparted = !server.isReady() && server.departedAt > 0 && server.departedAt < departedBefore;
     const bool mayBeEjected =
         server.ejection.mayBeInForce() ||
         (appliedByDisconnected && server.ejection.lastUpdate() > *appliedByDisconnected);
-    it = hasDeparted && !isUsed && !mayBeEjected ? servers.erase(it) : std::next(it);
+    const bool isForgotten = hasDeparted(server, departedBefore) && !isUsed && !mayBeEjected;
+    it = isForgotten ? servers.erase(it) : std::next(it);
   }
 }
 
